Add the design, the wire formats and a thin whole path

Cause: the repository was empty; every later change needs a path that runs.

Ruled out: a replicated flow table, consistent hashing and an owner instance per flow (docs/design.md, section 3).

No load figures yet.

--- /dev/null
+++ b/crates/core/src/invariant.rs
@@ -0,0 +1,31 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts violated invariants of the process.
+pub type InvariantCounter = AtomicU64;
+
+static VIOLATIONS: InvariantCounter = AtomicU64::new(0);
+
+/// Records one violated invariant and writes it to standard error, which also works while the
+/// log queue is full.
+pub fn record_violation(name: &str, detail: &str) {
+    VIOLATIONS.fetch_add(1, Ordering::Relaxed);
+    eprintln!("[invariant] {name} is violated: {detail}");
+}
+
+/// Returns the number of invariants violated since the process started.
+pub fn violations() -> u64 {
+    VIOLATIONS.load(Ordering::Relaxed)
+}
+
+/// Checks an invariant. A violation is counted and reported in the status page, and panics in
+/// debug builds so that tests fail at the place of the fault.
+#[macro_export]
+macro_rules! invariant {
+    ($condition:expr, $name:literal, $($detail:tt)+) => {
+        if !$condition {
+            let detail = format!($($detail)+);
+            $crate::record_violation($name, &detail);
+            debug_assert!(false, "invariant {} is violated: {}", $name, detail);
+        }
+    };
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,28 @@
+//! Identifiers, sizes, rates, result codes and the monotonic clock that every
+//! other crate of the workspace shares.
+
+mod clock;
+mod code;
+mod error;
+mod ids;
+mod invariant;
+mod quantity;
+
+pub use clock::{Clock, Millis};
+pub use code::{ResultCode, RunState};
+pub use error::{Error, Result};
+pub use ids::{
+    FlowId, Generation, Incarnation, InstanceName, OwnerName, RegionName, RequestId, Revision,
+    ServiceId, ServiceName, TargetId, TargetName, ZoneName,
+};
+pub use invariant::{InvariantCounter, record_violation, violations};
+pub use quantity::{ByteSize, Rate, parse_duration};
+
+/// A hash map with a fast, randomly seeded hasher.
+pub type FastMap<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+
+/// A hash set with a fast, randomly seeded hasher.
+pub type FastSet<K> = std::collections::HashSet<K, foldhash::fast::RandomState>;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/tests.rs
@@ -0,0 +1,48 @@
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use crate::{ByteSize, Rate, RequestId, ResultCode, ServiceName, parse_duration};
+
+/// Guards against two codes sharing a number, which would make logs ambiguous.
+#[test]
+fn result_codes_ascend_and_round_trip() {
+    let numbers: Vec<u16> = ResultCode::ALL.iter().map(|c| c.number()).collect();
+
+    assert!(numbers.is_sorted_by(|a, b| a < b));
+    for code in ResultCode::ALL {
+        assert_eq!(ResultCode::from_number(code.number()), Some(*code));
+    }
+}
+
+/// Guards against accepting quantities without a unit, which operators misread by factors of 1000.
+#[test]
+fn quantities_without_unit_are_refused() {
+    assert!("128".parse::<ByteSize>().is_err());
+    assert!("4000".parse::<Rate>().is_err());
+    assert!("-1/s".parse::<Rate>().is_err());
+    assert!(parse_duration("20").is_err());
+    assert_eq!(parse_duration("20s"), Ok(Duration::from_secs(20)));
+}
+
+/// Guards against names that would break log lines or metric labels.
+#[test]
+fn names_with_spaces_or_capitals_are_refused() {
+    for text in ["", "two words", "Upper", "line\nbreak"] {
+        assert!(text.parse::<ServiceName>().is_err(), "{text:?}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn byte_size_text_round_trips(bytes: u64) {
+        let size = ByteSize::new(bytes);
+        prop_assert_eq!(size.to_string().parse(), Ok(size));
+    }
+
+    #[test]
+    fn request_id_text_round_trips(bytes: [u8; 16]) {
+        let id = RequestId::new(bytes);
+        prop_assert_eq!(id.to_string().parse(), Ok(id));
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/proxy/src/admission/mod.rs
@@ -0,0 +1,5 @@
+//! Limits of owners and services, waiting queues and concurrency.
+
+mod control;
+
+pub use control::{Admission, Permit};
--- /dev/null
+++ b/crates/proxy/src/error.rs
@@ -0,0 +1,92 @@
+use std::net::SocketAddr;
+
+use tanager_core::ResultCode;
+
+use crate::settings::Problem;
+
+/// The result of starting or driving a node.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// An error that stops an operation of the library.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A document has one or more problems; none of its content is used.
+    #[error("{document} has {} problem(s): {}", problems.len(), join(problems))]
+    Document {
+        /// `settings`, `catalogue` or `instance list`.
+        document: &'static str,
+        /// Every problem found.
+        problems: Vec<Problem>,
+    },
+    /// A document is not newer than the one in force.
+    #[error("{code}: revision {offered} is offered, {current} is in force")]
+    Revision {
+        /// [`ResultCode::RevisionNotNewer`] or [`ResultCode::RevisionConflict`].
+        code: ResultCode,
+        /// The revision offered.
+        offered: u64,
+        /// The revision in force.
+        current: u64,
+    },
+    /// A listening socket cannot be opened.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The platform cannot be reached or answers with an error.
+    #[error("the platform at {address} cannot be read: {detail}")]
+    Platform {
+        /// The platform's address.
+        address: SocketAddr,
+        /// The cause.
+        detail: String,
+    },
+    /// A peer cannot be reached or answers with an error.
+    #[error("the peer at {address} cannot be reached: {detail}")]
+    Peer {
+        /// The peer's address.
+        address: SocketAddr,
+        /// The cause.
+        detail: String,
+    },
+}
+
+impl Error {
+    /// Creates an [`Error::Peer`].
+    pub fn peer(address: SocketAddr, cause: &impl ToString) -> Self {
+        Self::Peer {
+            address,
+            detail: cause.to_string(),
+        }
+    }
+
+    /// Creates an [`Error::Platform`].
+    pub fn platform(address: SocketAddr, cause: &impl ToString) -> Self {
+        Self::Platform {
+            address,
+            detail: cause.to_string(),
+        }
+    }
+
+    /// Returns the numbered code of this error.
+    #[must_use]
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::Document { problems, .. } => problems
+                .first()
+                .map_or(ResultCode::DocumentMalformed, |p| p.code),
+            Self::Revision { code, .. } => *code,
+            Self::Listen { .. } => ResultCode::ValueOutOfRange,
+            Self::Platform { .. } => ResultCode::PlatformUnreachable,
+            Self::Peer { .. } => ResultCode::PeerUnreachable,
+        }
+    }
+}
+
+fn join(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    lines.join("; ")
+}
--- /dev/null
+++ b/crates/proxy/src/node.rs
@@ -0,0 +1,328 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tanager_core::{Clock, Incarnation, Revision, ZoneName};
+use tanager_wire::{Datagram, DatagramBody};
+use tokio::net::{TcpListener, UdpSocket};
+
+use crate::admission::Admission;
+use crate::catalogue::{CatalogueStore, Reader};
+use crate::execution::{Execution, RequestTable};
+use crate::flow::{CallerSocket, Flows, PendingOpens, ReturnPath};
+use crate::membership::{InstanceState, Membership};
+use crate::peer::{CatalogueText, Heartbeat, Network, PeerHandler, Peers, RelayReply, Relayed};
+use crate::routing::Router;
+use crate::settings::Settings;
+use crate::target::TargetPool;
+use crate::telemetry::{Counters, Log, Part};
+use crate::usage::Usage;
+use crate::{Error, Identity, Result, peer, status};
+
+/// Receive buffer of the caller socket in bytes. It takes some 100 ms of a burst.
+const RECEIVE_BUFFER: usize = 4 << 20;
+/// Shortest time between leaving and the end of the process. Peers and the fabric learn of it.
+const LINGER: Duration = Duration::from_secs(2);
+/// Longest time that requests in flight are waited for; it exceeds the longest deadline.
+const DRAIN_LIMIT: Duration = Duration::from_secs(35);
+
+/// An entry instance.
+pub struct Node {
+    pub(crate) catalogue: Arc<CatalogueStore>,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) targets: Arc<TargetPool>,
+    pub(crate) router: Arc<Router>,
+    pub(crate) execution: Arc<Execution>,
+    pub(crate) flows: Arc<Flows>,
+    pub(crate) usage: Arc<Usage>,
+    pub(crate) counters: Arc<Counters>,
+    pub(crate) log: Log,
+    callers: CallerSocket,
+    status_address: SocketAddr,
+}
+
+impl Node {
+    /// Opens the sockets and starts all tasks of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Listen`] if a socket cannot be opened.
+    pub async fn start(
+        mut settings: Settings,
+        log: Log,
+        clock: Clock,
+        network: Arc<dyn Network>,
+    ) -> Result<Arc<Self>> {
+        let peer_listener = listen(settings.peers).await?;
+        let status_listener = listen(settings.status).await?;
+        // Port 0 stands for a port chosen by the system.
+        settings.peers = peer_listener.local_addr().unwrap_or(settings.peers);
+        settings.status = status_listener.local_addr().unwrap_or(settings.status);
+        let counters = Arc::new(Counters::default());
+        let socket = Arc::new(bind_callers(settings.callers)?);
+        let callers = CallerSocket::new(socket, Arc::clone(&counters));
+        let node = Arc::new(Self::assemble(
+            &settings, log, clock, network, counters, callers,
+        ));
+        node.log.info(
+            Part::Node,
+            format_args!("instance {} is started", settings.name),
+        );
+
+        tokio::spawn(peer::serve(
+            peer_listener,
+            Arc::clone(&node) as Arc<dyn PeerHandler>,
+        ));
+        tokio::spawn(status::serve(status_listener, Arc::clone(&node)));
+        let reader = Arc::new(Reader::new(
+            settings.platform,
+            Arc::clone(&node.catalogue),
+            Arc::clone(&node.membership),
+            Arc::clone(&node.counters),
+            node.log.clone(),
+        ));
+        tokio::spawn(Arc::clone(&reader).watch_catalogue());
+        tokio::spawn(reader.watch_instances());
+        tokio::spawn(Arc::clone(&node).follow_catalogue());
+        tokio::spawn(Arc::clone(&node).receive());
+        Ok(node)
+    }
+
+    /// Stops gracefully: takes no new work, finishes requests in flight, then returns.
+    pub async fn leave(&self) {
+        self.membership.leave();
+        self.log.info(Part::Node, "instance is leaving");
+        let start = tokio::time::Instant::now();
+        while start.elapsed() < LINGER
+            || (self.execution.pending() > 0 && start.elapsed() < DRAIN_LIMIT)
+        {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        self.log.info(Part::Node, "instance is stopped");
+    }
+
+    /// Returns where callers are served.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket's address cannot be read.
+    pub fn callers_address(&self) -> std::io::Result<SocketAddr> {
+        self.callers.socket().local_addr()
+    }
+
+    /// Returns where peers reach the instance.
+    #[must_use]
+    pub fn peer_address(&self) -> SocketAddr {
+        self.membership.identity().address
+    }
+
+    /// Returns where the status pages are served.
+    #[must_use]
+    pub const fn status_address(&self) -> SocketAddr {
+        self.status_address
+    }
+
+    /// Returns the instance's availability zone.
+    #[must_use]
+    pub fn zone(&self) -> &ZoneName {
+        &self.membership.identity().zone
+    }
+
+    /// Returns the number of targets with a usable connection.
+    #[must_use]
+    pub fn connected_targets(&self) -> usize {
+        self.targets.links().iter().filter(|l| l.is_ready()).count()
+    }
+
+    /// Returns the revision of the catalogue in force; 0 before any was read.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.catalogue.current().revision
+    }
+
+    /// Returns whether a catalogue is in force and the instance is not leaving.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.catalogue.current().revision.get() > 0 && !self.membership.is_leaving()
+    }
+
+    fn assemble(
+        settings: &Settings,
+        log: Log,
+        clock: Clock,
+        network: Arc<dyn Network>,
+        counters: Arc<Counters>,
+        callers: CallerSocket,
+    ) -> Self {
+        let identity = Identity {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            incarnation: Incarnation::random(),
+            address: settings.peers,
+        };
+        let keys = settings.keys.clone();
+        let catalogue = Arc::new(CatalogueStore::default());
+        let membership = Arc::new(Membership::new(identity.clone()));
+        let usage = Arc::new(Usage::default());
+        let pending = Arc::new(PendingOpens::default());
+        let return_path = Arc::new(ReturnPath::new(
+            keys.clone(),
+            callers.clone(),
+            Arc::clone(&pending),
+            Arc::clone(&usage),
+            Arc::clone(&counters),
+        ));
+        let targets = Arc::new(TargetPool::new(
+            identity,
+            Arc::clone(&network),
+            return_path,
+            clock,
+            log.clone(),
+        ));
+        let router = Arc::new(Router::new(Arc::clone(&catalogue), Arc::clone(&targets)));
+        let admission = Arc::new(Admission::new(
+            Arc::clone(&catalogue),
+            Arc::clone(&membership),
+            clock,
+        ));
+        let execution = Arc::new(Execution {
+            keys: keys.clone(),
+            callers: callers.clone(),
+            admission: Arc::clone(&admission),
+            router: Arc::clone(&router),
+            membership: Arc::clone(&membership),
+            peers: Arc::new(Peers::new(network)),
+            usage: Arc::clone(&usage),
+            counters: Arc::clone(&counters),
+            clock,
+            log: log.clone(),
+            table: Mutex::new(RequestTable::default()),
+        });
+        let flows = Arc::new(Flows {
+            keys,
+            callers: callers.clone(),
+            pending,
+            targets: Arc::clone(&targets),
+            router: Arc::clone(&router),
+            admission,
+            membership: Arc::clone(&membership),
+            counters: Arc::clone(&counters),
+            clock,
+            log: log.clone(),
+        });
+        Self {
+            catalogue,
+            membership,
+            targets,
+            router,
+            execution,
+            flows,
+            usage,
+            counters,
+            log,
+            callers,
+            status_address: settings.status,
+        }
+    }
+
+    /// Adapts the target links to every new catalogue.
+    async fn follow_catalogue(self: Arc<Self>) {
+        let mut revisions = self.catalogue.subscribe();
+        loop {
+            revisions.borrow_and_update();
+            self.targets.reconcile(&self.catalogue.current());
+            if revisions.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Receives datagrams of callers.
+    async fn receive(self: Arc<Self>) {
+        let mut buf = vec![0; 2_048];
+        loop {
+            // An error here reports an earlier send to a closed port and concerns no receiver.
+            if let Ok((size, caller)) = self.callers.socket().recv_from(&mut buf).await {
+                self.take_datagram(&buf[..size], caller);
+            }
+        }
+    }
+
+    fn take_datagram(&self, bytes: &[u8], caller: SocketAddr) {
+        self.counters.datagrams_received.increment();
+        let Ok(Datagram { service, body }) = Datagram::decode(bytes) else {
+            self.counters.datagrams_malformed.increment();
+            return;
+        };
+        match body {
+            DatagramBody::Open(open) => {
+                tokio::spawn(Arc::clone(&self.flows).open(service, open, caller));
+            }
+            DatagramBody::Keepalive(keepalive) => self.flows.keepalive(service, &keepalive, caller),
+            DatagramBody::Close(close) => self.flows.close(service, &close),
+            DatagramBody::Request(request) => {
+                self.execution.handle(service, request, caller, bytes);
+            }
+            DatagramBody::Cancel(cancel) => self.execution.cancel(service, &cancel, caller),
+            DatagramBody::Opened(_)
+            | DatagramBody::KeepaliveAck(_)
+            | DatagramBody::Update(_)
+            | DatagramBody::Reset(_)
+            | DatagramBody::Answer(_)
+            | DatagramBody::Refusal(_) => self.counters.datagrams_malformed.increment(),
+        }
+    }
+}
+
+impl PeerHandler for Node {
+    fn exchange(&self, _heartbeat: Heartbeat) -> Heartbeat {
+        let identity = self.membership.identity();
+        let leaving = self.membership.is_leaving();
+        Heartbeat {
+            name: identity.name.clone(),
+            incarnation: identity.incarnation,
+            zone: identity.zone.clone(),
+            address: identity.address,
+            state: if leaving {
+                InstanceState::Leaving
+            } else {
+                InstanceState::Live
+            },
+            revision: self.catalogue.current().revision,
+        }
+    }
+
+    fn catalogue(&self, after: Revision) -> Option<CatalogueText> {
+        let catalogue = self.catalogue.current();
+        (catalogue.revision > after).then(|| CatalogueText {
+            text: catalogue.text.clone(),
+        })
+    }
+
+    fn relay(&self, relayed: Relayed) -> RelayReply {
+        if relayed.executor != self.membership.identity().incarnation {
+            return RelayReply::Replaced;
+        }
+        self.take_datagram(&relayed.datagram, relayed.caller);
+        RelayReply::Taken
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen { address, source })
+}
+
+fn bind_callers(address: SocketAddr) -> Result<UdpSocket> {
+    let bind = || {
+        let domain = socket2::Domain::for_address(address);
+        let socket = socket2::Socket::new(domain, socket2::Type::DGRAM, None)?;
+        socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        UdpSocket::from_std(socket.into())
+    };
+    bind().map_err(|source| Error::Listen { address, source })
+}
--- /dev/null
+++ b/crates/proxy/src/peer/mod.rs
@@ -0,0 +1,11 @@
+//! Connections between instances: heartbeats, catalogue transfer, and relay to executors.
+
+mod client;
+mod network;
+mod server;
+mod service;
+
+pub use client::Peers;
+pub use network::{Network, PeerStream, TcpNetwork};
+pub use server::{PeerHandler, serve};
+pub use service::{CatalogueText, Heartbeat, Peer, PeerClient, RelayReply, Relayed};
--- /dev/null
+++ b/crates/proxy/src/peer/server.rs
@@ -0,0 +1,67 @@
+use std::future::Future;
+use std::sync::Arc;
+
+use futures_util::StreamExt as _;
+use tanager_core::Revision;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel as _};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::peer::service::Peer;
+use crate::peer::{CatalogueText, Heartbeat, RelayReply, Relayed};
+
+/// Answers calls of other instances.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Takes a peer's heartbeat and returns the own one.
+    fn exchange(&self, heartbeat: Heartbeat) -> Heartbeat;
+    /// Returns the catalogue in force if it is newer.
+    fn catalogue(&self, after: Revision) -> Option<CatalogueText>;
+    /// Takes a datagram as its executor.
+    fn relay(&self, relayed: Relayed) -> RelayReply;
+}
+
+#[derive(Clone)]
+struct Server(Arc<dyn PeerHandler>);
+
+impl Peer for Server {
+    async fn exchange(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
+        self.0.exchange(heartbeat)
+    }
+
+    async fn catalogue(self, _: Context, after: Revision) -> Option<CatalogueText> {
+        self.0.catalogue(after)
+    }
+
+    async fn relay(self, _: Context, relayed: Relayed) -> RelayReply {
+        self.0.relay(relayed)
+    }
+}
+
+/// Serves connections of other instances, one task for each.
+pub async fn serve(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&handler)))),
+            // Accept fails for a moment when the process has no free file descriptor.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, handler: Arc<dyn PeerHandler>) {
+    let _ = stream.set_nodelay(true);
+    let framed = LengthDelimitedCodec::builder().new_framed(stream);
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    let channel = BaseChannel::with_defaults(transport);
+    channel
+        .execute(Server(handler).serve())
+        .for_each(run_call)
+        .await;
+}
+
+/// Runs one call to its end; calls are short and do not wait for others.
+async fn run_call(call: impl Future<Output = ()> + Send + 'static) {
+    call.await;
+}
--- /dev/null
+++ b/crates/proxy/src/peer/service.rs
@@ -0,0 +1,61 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use tanager_core::{Incarnation, InstanceName, Revision, ZoneName};
+
+use crate::membership::InstanceState;
+
+/// What an instance tells a peer about itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's name.
+    pub name: InstanceName,
+    /// The sender's incarnation.
+    pub incarnation: Incarnation,
+    /// The sender's availability zone.
+    pub zone: ZoneName,
+    /// Where peers reach the sender.
+    pub address: SocketAddr,
+    /// Whether the sender is leaving.
+    pub state: InstanceState,
+    /// The sender's catalogue revision.
+    pub revision: Revision,
+}
+
+/// A published catalogue passed on by a peer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CatalogueText {
+    /// The text as published.
+    pub text: String,
+}
+
+/// A caller's datagram passed on to the executor that its token names.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Relayed {
+    /// The incarnation that the token names.
+    pub executor: Incarnation,
+    /// Where the answer goes.
+    pub caller: SocketAddr,
+    /// The datagram as received.
+    pub datagram: Vec<u8>,
+}
+
+/// What became of a relayed datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayReply {
+    /// The executor took it and answers the caller itself.
+    Taken,
+    /// Another incarnation lives at the executor's address.
+    Replaced,
+}
+
+/// Calls between instances.
+#[tarpc::service]
+pub trait Peer {
+    /// Exchanges heartbeats.
+    async fn exchange(heartbeat: Heartbeat) -> Heartbeat;
+    /// Returns the catalogue in force if it is newer than `after`.
+    async fn catalogue(after: Revision) -> Option<CatalogueText>;
+    /// Hands a datagram to the executor named in its token.
+    async fn relay(relayed: Relayed) -> RelayReply;
+}
--- /dev/null
+++ b/crates/proxy/src/usage/mod.rs
@@ -0,0 +1,5 @@
+//! What each owner uses: requests, slot time, connection time and bytes.
+
+mod counters;
+
+pub use counters::{ServiceUsage, Usage, UsageEvent};
--- /dev/null
+++ b/crates/standins/src/control.rs
@@ -0,0 +1,95 @@
+//! A small HTTP server for the control pages of the stand-ins.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tanager_core::FastMap;
+use tokio::net::TcpListener;
+
+/// A request on a control page.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// The path, such as `/v1/catalogue`.
+    pub path: String,
+    /// The query's parameters.
+    pub query: FastMap<String, String>,
+    /// Whether it is a `PUT`; otherwise it reads.
+    pub put: bool,
+    /// The body as text.
+    pub body: String,
+}
+
+impl Call {
+    /// Returns a query parameter if it is present and valid.
+    #[must_use]
+    pub fn parameter<T: std::str::FromStr>(&self, name: &str) -> Option<T> {
+        self.query.get(name)?.parse().ok()
+    }
+}
+
+/// A status code and a body.
+pub type Reply = (u16, String);
+
+/// Answers a call.
+pub type Handler = Arc<dyn Fn(Call) -> Pin<Box<dyn Future<Output = Reply> + Send>> + Send + Sync>;
+
+/// Starts a control server and returns its address.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be listened on.
+pub async fn start(address: SocketAddr, handler: Handler) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler = Arc::clone(&handler);
+            let service = service_fn(move |request| respond(Arc::clone(&handler), request));
+            tokio::spawn(async move {
+                let builder = hyper::server::conn::http1::Builder::new();
+                let _ = builder
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    Ok(address)
+}
+
+async fn respond(
+    handler: Handler,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let path = request.uri().path().to_owned();
+    let pairs = request.uri().query().unwrap_or_default().split('&');
+    let query = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(k, v)| (k.to_owned(), v.to_owned()))
+        .collect();
+    let put = request.method() == hyper::Method::PUT;
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let (status, text) = handler(Call {
+        path,
+        query,
+        put,
+        body,
+    })
+    .await;
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    Ok(response)
+}
--- /dev/null
+++ b/crates/standins/src/feed.rs
@@ -0,0 +1,212 @@
+//! The feeds of a target. Sequence numbers follow the wall clock, so all targets of a service
+//! number their updates alike and a feed can continue at another target.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use tanager_core::{FastMap, FlowId, Millis, ResultCode};
+use tanager_wire::{FromTarget, raw};
+use tokio::sync::mpsc;
+
+use crate::target::Shared;
+
+/// A feed without a keepalive for this long is ended.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// Updates that a target can send again.
+const HISTORY: u64 = 1_000;
+/// Updates sent again for one keepalive.
+const RESEND_LIMIT: usize = 32;
+/// Updates sent this recently are not sent again; they may still be on their way.
+const RESEND_AFTER: Duration = Duration::from_millis(400);
+
+struct Feed {
+    route: Bytes,
+    connection: u64,
+    /// Sequence number of the newest update sent.
+    sent: u64,
+    heard: Millis,
+}
+
+/// The open feeds of a target and its balancer connections.
+#[derive(Default)]
+pub(crate) struct Feeds {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    feeds: FastMap<FlowId, Feed>,
+    connections: FastMap<u64, mpsc::UnboundedSender<FromTarget>>,
+}
+
+/// Returns the sequence number of the newest update.
+#[must_use]
+pub fn newest(interval: Duration) -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis() / interval.as_millis().max(1)).unwrap_or(u64::MAX)
+}
+
+fn update(flow: FlowId, route: &Bytes, sequence: u64) -> FromTarget {
+    let payload = Bytes::copy_from_slice(&sequence.to_be_bytes());
+    FromTarget::FlowUpdate {
+        flow,
+        route: route.clone(),
+        sequence,
+        payload,
+    }
+}
+
+impl Feeds {
+    pub(crate) fn connect(&self, id: u64, sender: mpsc::UnboundedSender<FromTarget>) {
+        self.lock().connections.insert(id, sender);
+    }
+
+    pub(crate) fn disconnect(&self, id: u64) {
+        self.lock().connections.remove(&id);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.lock().feeds.len()
+    }
+
+    pub(crate) fn clear(&self) {
+        self.lock().feeds.clear();
+    }
+
+    pub(crate) fn close(&self, flow: &Bytes) {
+        if let Ok(flow) = FlowId::try_from(flow.as_ref()) {
+            self.lock().feeds.remove(&flow);
+        }
+    }
+
+    pub(crate) fn open(
+        &self,
+        shared: &Shared,
+        connection: u64,
+        open: raw::target::OpenFlow,
+    ) -> FromTarget {
+        let flow = FlowId::try_from(open.flow.as_ref()).unwrap_or(FlowId::new([0; 16]));
+        let newest = newest(shared.options.feed_interval);
+        let full = self.len() >= shared.options.flows as usize;
+        let refused = match open.resume_from {
+            _ if shared.is_leaving() => Some(ResultCode::TargetLeaving),
+            _ if full => Some(ResultCode::FlowTargetFull),
+            from if from > 0 && from + HISTORY < newest => Some(ResultCode::FlowNotResumable),
+            _ => None,
+        };
+        let route = open.route;
+        if let Some(code) = refused {
+            return FromTarget::FlowRefused {
+                flow,
+                route,
+                code,
+                load: shared.load(),
+            };
+        }
+        let sent = if open.resume_from > 0 {
+            open.resume_from - 1
+        } else {
+            newest - 1
+        };
+        let feed = Feed {
+            route: route.clone(),
+            connection,
+            sent,
+            heard: shared.clock.now(),
+        };
+        if self.lock().feeds.insert(flow, feed).is_none() {
+            shared.count_opened();
+        }
+        FromTarget::FlowOpened {
+            flow,
+            route,
+            load: shared.load(),
+        }
+    }
+
+    /// Returns the frames that answer a keepalive: an acknowledgement and repeated updates.
+    pub(crate) fn keepalive(
+        &self,
+        shared: &Shared,
+        connection: u64,
+        keepalive: &raw::target::FlowKeepalive,
+    ) -> Vec<FromTarget> {
+        let Ok(flow) = FlowId::try_from(keepalive.flow.as_ref()) else {
+            return Vec::new();
+        };
+        let route = keepalive.route.clone();
+        let mut state = self.lock();
+        let Some(feed) = state.feeds.get_mut(&flow) else {
+            return vec![FromTarget::FlowReset {
+                flow,
+                route,
+                code: ResultCode::FlowUnknown,
+            }];
+        };
+        let now = shared.clock.now();
+        let held = now.since(feed.heard);
+        (feed.route, feed.connection, feed.heard) = (route.clone(), connection, now);
+        let settled = RESEND_AFTER.as_millis() / shared.options.feed_interval.as_millis().max(1);
+        let last = feed
+            .sent
+            .saturating_sub(u64::try_from(settled).unwrap_or(0));
+        // Nothing was received yet, so there is no gap to fill.
+        let last = if keepalive.acked == 0 { 0 } else { last };
+        let mut frames: Vec<FromTarget> = (keepalive.acked + 1..=last)
+            .take(RESEND_LIMIT)
+            .map(|sequence| update(flow, &route, sequence))
+            .collect();
+        drop(state);
+        frames.push(FromTarget::FlowKeepaliveAck {
+            flow,
+            route,
+            number: keepalive.number,
+            held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
+            load: shared.load(),
+        });
+        frames
+    }
+
+    /// Sends due updates and ends idle feeds.
+    fn push(&self, shared: &Shared) {
+        let newest = newest(shared.options.feed_interval);
+        let now = shared.clock.now();
+        let mut state = self.lock();
+        let State { feeds, connections } = &mut *state;
+        feeds.retain(|flow, feed| {
+            // Without the connection of the last keepalive any other one will do.
+            let sender = connections
+                .get(&feed.connection)
+                .or_else(|| connections.values().next());
+            let Some(sender) = sender else { return true };
+            if now.since(feed.heard) > IDLE_LIMIT {
+                let (flow, route) = (*flow, feed.route.clone());
+                let code = ResultCode::FlowSilent;
+                let _ = sender.send(FromTarget::FlowReset { flow, route, code });
+                return false;
+            }
+            while feed.sent < newest {
+                feed.sent += 1;
+                let _ = sender.send(update(*flow, &feed.route, feed.sent));
+            }
+            true
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Pushes updates for as long as the target lives.
+pub(crate) async fn push_updates(shared: Arc<Shared>) {
+    let interval = shared.options.feed_interval / 4;
+    let mut ticks = tokio::time::interval(interval.max(Duration::from_millis(5)));
+    loop {
+        ticks.tick().await;
+        shared.feeds.push(&shared);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,13 @@
+//! Small stand-ins for the systems around the balancer: platform, targets, fabric and callers.
+//!
+//! Each is a library type that tests start in their own process, and a thin program. They keep
+//! the truth (what ran, what arrived where) that promises are checked against.
+
+pub mod caller;
+pub mod control;
+pub mod fabric;
+pub mod feed;
+pub mod fleet;
+pub mod platform;
+pub mod settings;
+pub mod target;
--- /dev/null
+++ b/crates/standins/src/settings.rs
@@ -0,0 +1,134 @@
+//! Settings, catalogues and instance lists for tests, the demo and the load tool.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+/// A secret for tests.
+const SECRET: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+
+/// An entry instance of a test fleet.
+#[derive(Debug, Clone)]
+pub struct Instance {
+    /// Unique name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// UDP address for callers.
+    pub callers: SocketAddr,
+    /// TCP address for peers.
+    pub peers: SocketAddr,
+    /// TCP address for status.
+    pub status: SocketAddr,
+    /// `live` or `leaving`, for the instance list.
+    pub state: &'static str,
+}
+
+impl Instance {
+    /// Returns the instance's settings as YAML.
+    #[must_use]
+    pub fn settings(&self, platform: SocketAddr, seeds: &[SocketAddr], level: &str) -> String {
+        let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+        format!(
+            "instance: {{ name: {}, zone: {}, region: addis }}\n\
+             listen: {{ callers: \"{}\", peers: \"{}\", status: \"{}\" }}\n\
+             platform: {{ address: \"{platform}\", wait: 20s }}\n\
+             peers: [{}]\n\
+             keys: {{ current: {{ number: 1, secret: \"{SECRET}\" }} }}\n\
+             log: {{ format: text, level: {level}, queue: 4096 }}\n",
+            self.name,
+            self.zone,
+            self.callers,
+            self.peers,
+            self.status,
+            seeds
+                .iter()
+                .map(|s| format!("\"{s}\""))
+                .collect::<Vec<_>>()
+                .join(", "),
+        )
+    }
+}
+
+/// Returns an instance list as YAML.
+#[must_use]
+pub fn instance_list(revision: u64, instances: &[Instance]) -> String {
+    let mut text = format!("revision: {revision}\ninstances:\n");
+    for i in instances {
+        let _ = writeln!(
+            text,
+            "- {{ name: {}, zone: {}, region: addis, address: \"{}\", state: {} }}",
+            i.name, i.zone, i.peers, i.state
+        );
+    }
+    if instances.is_empty() {
+        text = format!("revision: {revision}\ninstances: []\n");
+    }
+    text
+}
+
+/// A service of a test catalogue.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// Unique name.
+    pub name: &'static str,
+    /// Unique number.
+    pub number: u32,
+    /// Owner.
+    pub owner: &'static str,
+    /// Class of urgency.
+    pub class: &'static str,
+    /// Requests a second over the fleet.
+    pub requests: u32,
+    /// Guaranteed requests a second.
+    pub minimum: u32,
+    /// Open feeds over the fleet.
+    pub flows: u64,
+    /// The targets.
+    pub targets: Vec<TargetEntry>,
+}
+
+/// A target of a test catalogue.
+#[derive(Debug, Clone)]
+pub struct TargetEntry {
+    /// Unique number.
+    pub number: u32,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Expected incarnation.
+    pub incarnation: u64,
+    /// `active` or `leaving`.
+    pub state: &'static str,
+}
+
+/// Returns a catalogue as YAML. Owners may make 100,000 requests a second and hold 100,000 feeds.
+#[must_use]
+pub fn catalogue(revision: u64, services: &[Service]) -> String {
+    let mut owners: Vec<&str> = services.iter().map(|s| s.owner).collect();
+    owners.sort_unstable();
+    owners.dedup();
+    let mut text = format!("revision: {revision}\nowners:\n");
+    for owner in owners {
+        let limits = "{ requests: 100000/s, flows: 100000 }";
+        let _ = writeln!(text, "- {{ name: {owner}, limits: {limits} }}");
+    }
+    text.push_str("entries:\n");
+    for s in services {
+        let _ = write!(
+            text,
+            "- service: {}\n  number: {}\n  owner: {}\n  class: {}\n  limits: {{ requests: {}/s, \
+             minimum: {}/s, flows: {}, queue: 256 }}\n  targets:\n",
+            s.name, s.number, s.owner, s.class, s.requests, s.minimum, s.flows
+        );
+        for t in &s.targets {
+            let _ = writeln!(
+                text,
+                "  - {{ name: {}-{}, number: {}, address: \"{}\", zone: {}, incarnation: {}, \
+                 state: {}, slots: 2, flows: 2000 }}",
+                s.name, t.number, t.number, t.address, t.zone, t.incarnation, t.state
+            );
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,66 @@
+use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
+use prost::Message;
+
+use crate::{Error, Result};
+
+/// The largest frame in bytes, without its length prefix. It holds the largest answer and its
+/// header.
+pub const FRAME_LIMIT: usize = (1 << 20) + 1_024;
+
+const PREFIX: usize = 4;
+
+/// Appends a frame with its length prefix to `buf`.
+///
+/// # Errors
+///
+/// Returns [`Error::TooLarge`] if the frame exceeds [`FRAME_LIMIT`]; `buf` is unchanged then.
+pub fn encode_frame<M: Message>(message: &M, buf: &mut BytesMut) -> Result<()> {
+    let size = message.encoded_len();
+    if size > FRAME_LIMIT {
+        return Err(Error::TooLarge {
+            size,
+            limit: FRAME_LIMIT,
+        });
+    }
+    buf.reserve(PREFIX + size);
+    buf.put_u32(u32::try_from(size).map_err(|_| Error::malformed("frame length"))?);
+    message.encode(buf).map_err(|_| Error::malformed("frame"))
+}
+
+/// Splits a byte stream into frames.
+#[derive(Debug, Default)]
+pub struct FrameReader {
+    buf: BytesMut,
+}
+
+impl FrameReader {
+    /// Returns the buffer to read into.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buf
+    }
+
+    /// Removes the next complete frame from the buffer, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::TooLarge`] if the announced length exceeds [`FRAME_LIMIT`]. The stream
+    /// cannot be continued then.
+    pub fn read_frame(&mut self) -> Result<Option<Bytes>> {
+        let Some(prefix) = self.buf.first_chunk::<PREFIX>() else {
+            return Ok(None);
+        };
+        let size = u32::from_be_bytes(*prefix) as usize;
+        if size > FRAME_LIMIT {
+            return Err(Error::TooLarge {
+                size,
+                limit: FRAME_LIMIT,
+            });
+        }
+        if self.buf.len() < PREFIX + size {
+            self.buf.reserve(PREFIX + size - self.buf.len());
+            return Ok(None);
+        }
+        self.buf.advance(PREFIX);
+        Ok(Some(self.buf.split_to(size).freeze()))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,42 @@
+//! Datagrams between callers and balancers, frames between balancers and targets, the signed
+//! flow token and the sealed return route.
+//!
+//! The protobuf types in [`raw`] are generated from `schema/` and carry no guarantees. Everything
+//! received is converted with `TryFrom` into the checked types of this crate before use.
+
+mod caller;
+mod error;
+mod fragment;
+mod frame;
+mod route;
+mod seal;
+mod target;
+mod token;
+
+/// Generated protobuf types.
+#[allow(clippy::pedantic, missing_docs)]
+pub mod raw {
+    /// Datagrams between callers and balancers.
+    pub mod caller {
+        include!("generated/caller.rs");
+    }
+    /// Frames between balancers and targets.
+    pub mod target {
+        include!("generated/target.rs");
+    }
+}
+
+pub use caller::{
+    Answer, Cancel, Close, DATAGRAM_LIMIT, Datagram, DatagramBody, Deadline, FlowKind, Keepalive,
+    KeepaliveAck, Open, Opened, PROTOCOL_VERSION, Refusal, Request, Reset, Update,
+};
+pub use error::{Error, Result};
+pub use fragment::{ANSWER_LIMIT, Assembly, FRAGMENT_PAYLOAD, FragmentMap, split_answer};
+pub use frame::{FRAME_LIMIT, FrameReader, encode_frame};
+pub use route::Route;
+pub use seal::{KeyNumber, KeyRing, SECRET_LENGTH, Secret};
+pub use target::{FromTarget, Load, ToTarget};
+pub use token::{Executor, Token, TokenTarget};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/wire/src/route.rs
@@ -0,0 +1,43 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use tanager_core::{FlowId, ServiceId};
+
+use crate::{Error, KeyRing, Result};
+
+const PURPOSE: u8 = 2;
+
+/// The way back to the caller of a flow. The target repeats it without reading it, so any
+/// balancer can deliver the target's frames.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// The caller's address as seen by the balancer that received its last datagram.
+    pub caller: SocketAddr,
+    /// Frames are delivered only if the target serves this service.
+    pub service: ServiceId,
+    /// Frames are delivered only for this flow.
+    pub flow: FlowId,
+}
+
+impl Route {
+    /// Encodes and signs the route.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Malformed`] if the route cannot be encoded.
+    pub fn seal(&self, keys: &KeyRing) -> Result<Vec<u8>> {
+        let bytes = postcard::to_stdvec(self).map_err(|_| Error::malformed("route"))?;
+        Ok(keys.seal(PURPOSE, bytes))
+    }
+
+    /// Verifies and decodes a route.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Forged`] if no known secret signed the bytes, and [`Error::Malformed`]
+    /// if they are not a route.
+    pub fn open(sealed: &[u8], keys: &KeyRing) -> Result<Self> {
+        let bytes = keys.open(PURPOSE, "route", sealed)?;
+        postcard::from_bytes(bytes).map_err(|_| Error::malformed("route"))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/tests.rs
@@ -0,0 +1,143 @@
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use tanager_core::{FlowId, Generation, Incarnation, RequestId, ServiceId, TargetId};
+
+use crate::{
+    Answer, Assembly, Datagram, Error, Executor, FrameReader, KeyNumber, KeyRing, Route, Secret,
+    Token, TokenTarget, encode_frame, raw, split_answer,
+};
+
+fn key_ring(number: u8, fill: u8) -> KeyRing {
+    KeyRing::new((KeyNumber::new(number), Secret::new([fill; 32])), None)
+}
+
+fn token() -> Token {
+    Token {
+        service: ServiceId::new(1),
+        flow: FlowId::new([7; 16]),
+        generation: Generation::new(0),
+        target: Some(TokenTarget {
+            id: TargetId::new(3),
+            incarnation: Incarnation::new(9),
+        }),
+        executor: Executor {
+            address: "127.0.0.1:7100".parse().expect("address"),
+            incarnation: Incarnation::new(5),
+        },
+    }
+}
+
+fn fragments(answer: u64, payload: &Bytes) -> Vec<Answer> {
+    let parts = split_answer(payload);
+    let count = u32::try_from(parts.len()).expect("count");
+    let fragment = |(index, payload)| Answer {
+        request: RequestId::new([1; 16]),
+        answer,
+        index,
+        count,
+        token: Bytes::new(),
+        payload,
+    };
+    (0u32..).zip(parts).map(fragment).collect()
+}
+
+/// Guards against a token that reaches another owner's service by a changed byte.
+#[test]
+fn changed_token_is_refused() {
+    let keys = key_ring(1, 1);
+    let sealed = token().seal(&keys).expect("seal");
+
+    for i in 0..sealed.len() {
+        let mut forged = sealed.clone();
+        forged[i] ^= 1;
+        assert!(Token::open(&forged, &keys).is_err(), "byte {i}");
+    }
+    assert_eq!(Token::open(&sealed, &keys), Ok(token()));
+}
+
+/// Guards against a caller using its route as a token, which is signed with the same secret.
+#[test]
+fn route_is_not_a_token() {
+    let keys = key_ring(1, 1);
+    let route = Route {
+        caller: "127.0.0.1:9".parse().expect("address"),
+        service: ServiceId::new(1),
+        flow: FlowId::new([7; 16]),
+    };
+    let sealed = route.seal(&keys).expect("seal");
+
+    assert_eq!(
+        Token::open(&sealed, &keys),
+        Err(Error::Forged { part: "token" })
+    );
+}
+
+/// Guards against breaking open feeds when the secret is rotated.
+#[test]
+fn previous_key_still_verifies() {
+    let old = key_ring(1, 1);
+    let sealed = token().seal(&old).expect("seal");
+    let rotated = KeyRing::new(
+        (KeyNumber::new(2), Secret::new([2; 32])),
+        Some((KeyNumber::new(1), Secret::new([1; 32]))),
+    );
+
+    assert_eq!(Token::open(&sealed, &rotated), Ok(token()));
+    assert!(Token::open(&sealed, &key_ring(2, 2)).is_err());
+}
+
+/// Guards against mixing fragments of two runs of one repeatable request.
+#[test]
+fn fragments_of_another_answer_are_ignored() {
+    let one = fragments(1, &Bytes::from(vec![1; 3_000]));
+    let two = fragments(2, &Bytes::from(vec![2; 3_000]));
+    let mut assembly = Assembly::try_new(&one[0]).expect("assembly");
+
+    assert_eq!(assembly.insert(one[0].clone()), None);
+    assert_eq!(assembly.insert(two[1].clone()), None);
+    assert_eq!(assembly.insert(one[2].clone()), None);
+    assert_eq!(
+        assembly.insert(one[1].clone()),
+        Some(Bytes::from(vec![1; 3_000]))
+    );
+}
+
+proptest! {
+    /// Guards against panics on hostile datagrams.
+    #[test]
+    fn arbitrary_datagrams_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..1_500)) {
+        let _ = Datagram::decode(&bytes);
+    }
+
+    /// Guards against lost or repeated bytes when fragments arrive shuffled and duplicated.
+    #[test]
+    fn shuffled_fragments_assemble(size in 0usize..9_000, order in proptest::collection::vec(any::<u16>(), 64)) {
+        let payload: Bytes = (0u8..251).cycle().take(size).collect::<Vec<_>>().into();
+        let parts = fragments(1, &payload);
+        let mut assembly = Assembly::try_new(&parts[0]).expect("assembly");
+        let indices = order.iter().map(|i| *i as usize % parts.len()).chain(0..parts.len());
+
+        let whole: Vec<Bytes> = indices.filter_map(|i| assembly.insert(parts[i].clone())).collect();
+
+        prop_assert_eq!(whole, vec![payload]);
+    }
+
+    /// Guards against frames lost at the borders of reads.
+    #[test]
+    fn frames_survive_any_read_size(numbers in proptest::collection::vec(any::<u64>(), 1..20), step in 1usize..40) {
+        let mut stream = BytesMut::new();
+        for &number in &numbers {
+            encode_frame(&raw::target::Ping { number }, &mut stream).expect("encode");
+        }
+        let mut reader = FrameReader::default();
+        let mut seen = Vec::new();
+        for chunk in stream.chunks(step) {
+            reader.buffer().extend_from_slice(chunk);
+            while let Some(frame) = reader.read_frame().expect("frame") {
+                let ping = <raw::target::Ping as prost::Message>::decode(frame).expect("decode");
+                seen.push(ping.number);
+            }
+        }
+        prop_assert_eq!(seen, numbers);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/token.rs
@@ -0,0 +1,64 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use tanager_core::{FlowId, Generation, Incarnation, ServiceId, TargetId};
+
+use crate::{Error, KeyRing, Result};
+
+const PURPOSE: u8 = 1;
+
+/// The instance that alone may dispatch requests carrying a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Executor {
+    /// Where peers reach the instance, so that no membership view is needed to relay.
+    pub address: SocketAddr,
+    /// The incarnation; a later process at the same address is not the executor.
+    pub incarnation: Incarnation,
+}
+
+/// The target that a feed is bound to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TokenTarget {
+    /// The target's number in the catalogue.
+    pub id: TargetId,
+    /// The incarnation; another target at the same address is not meant.
+    pub incarnation: Incarnation,
+}
+
+/// What a balancer hands to a caller so that any balancer can forward the flow without state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Token {
+    /// The only service for which the token is valid.
+    pub service: ServiceId,
+    /// The only flow for which the token is valid.
+    pub flow: FlowId,
+    /// Counts the moves of the flow; callers keep the highest.
+    pub generation: Generation,
+    /// Absent for a session, which is bound to an executor only.
+    pub target: Option<TokenTarget>,
+    /// The instance that issued the token.
+    pub executor: Executor,
+}
+
+impl Token {
+    /// Encodes and signs the token.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Malformed`] if the token cannot be encoded.
+    pub fn seal(&self, keys: &KeyRing) -> Result<Vec<u8>> {
+        let bytes = postcard::to_stdvec(self).map_err(|_| Error::malformed("token"))?;
+        Ok(keys.seal(PURPOSE, bytes))
+    }
+
+    /// Verifies and decodes a token.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Forged`] if no known secret signed the bytes, and [`Error::Malformed`]
+    /// if they are not a token.
+    pub fn open(sealed: &[u8], keys: &KeyRing) -> Result<Self> {
+        let bytes = keys.open(PURPOSE, "token", sealed)?;
+        postcard::from_bytes(bytes).map_err(|_| Error::malformed("token"))
+    }
+}
