Run each node of a test fleet on its own runtime

Cause: tests must kill and freeze single instances in one process. Change: every node gets a runtime with one worker thread; shutting it down kills the node, blocking it freezes the node while its clock runs on.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tanager_core::Clock;
 use tanagerproxy::Node;
@@ -24,6 +25,68 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// An entry instance on a runtime of its own, so that it can be killed and frozen like a process.
+pub struct FleetNode {
+    /// The instance.
+    pub node: Arc<Node>,
+    /// One worker thread, so that a blocked task freezes the whole instance.
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+impl FleetNode {
+    async fn start(settings: Settings, network: Arc<dyn Network>) -> io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()?;
+        let clock = Clock::start();
+        let log = Log::discard(clock);
+        let start = runtime.spawn(Node::start(settings, log, clock, network));
+        let node = start
+            .await
+            .map_err(io::Error::other)?
+            .map_err(io::Error::other)?;
+        Ok(Self {
+            node,
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Kills the instance: its tasks end and its sockets close without a word to anybody.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Stops the instance for a time, as SIGSTOP and SIGCONT would. Its clock keeps running.
+    pub fn freeze(&self, time: Duration) {
+        if let Some(runtime) = &self.runtime {
+            runtime.spawn(async move { std::thread::sleep(time) });
+        }
+    }
+
+    /// Starts a graceful stop on the instance's own runtime.
+    pub fn leave(&self) -> Option<tokio::task::JoinHandle<()>> {
+        let node = Arc::clone(&self.node);
+        self.runtime
+            .as_ref()
+            .map(|r| r.spawn(async move { node.leave().await }))
+    }
+
+    /// Returns whether the instance has not been killed.
+    #[must_use]
+    pub const fn is_running(&self) -> bool {
+        self.runtime.is_some()
+    }
+}
+
+impl Drop for FleetNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
 /// A running fleet. All parts end with it.
 pub struct Fleet {
     /// The platform.
@@ -31,7 +94,7 @@
     /// The fabric.
     pub fabric: Fabric,
     /// The entry instances.
-    pub nodes: Vec<Arc<Node>>,
+    pub nodes: Vec<FleetNode>,
     /// The targets, with the index of their service.
     pub targets: Vec<(usize, Target)>,
     /// The services as published.
@@ -142,24 +205,22 @@
             status: any_port(),
             state: "live",
         };
-        let seeds: Vec<SocketAddr> = self.nodes.iter().map(|n| n.peer_address()).collect();
+        let seeds: Vec<SocketAddr> = self.nodes.iter().map(|n| n.node.peer_address()).collect();
         let text = instance.settings(self.platform.address(), &seeds, "info");
         let settings = Settings::read(&text).map_err(io::Error::other)?;
-        let clock = Clock::start();
-        let node = Node::start(settings, Log::discard(clock), clock, network).await;
-        self.nodes.push(node.map_err(io::Error::other)?);
+        self.nodes.push(FleetNode::start(settings, network).await?);
         self.publish_instances();
         Ok(())
     }
 
     /// Publishes the list of all instances.
     pub fn publish_instances(&self) {
-        let instance = |(i, node): (usize, &Arc<Node>)| Instance {
+        let instance = |(i, node): (usize, &FleetNode)| Instance {
             name: format!("node-{}", i + 1),
-            zone: node.zone().to_string(),
+            zone: node.node.zone().to_string(),
             callers: any_port(),
-            peers: node.peer_address(),
-            status: node.status_address(),
+            peers: node.node.peer_address(),
+            status: node.node.status_address(),
             state: "live",
         };
         let instances: Vec<Instance> = self.nodes.iter().enumerate().map(instance).collect();
@@ -175,9 +236,17 @@
             .publish_catalogue(&catalogue(self.revision, &self.services));
     }
 
-    /// Makes the fabric use all entry instances.
+    /// Returns the entry instances that have not been killed.
+    pub fn running(&self) -> impl Iterator<Item = &Arc<Node>> {
+        self.nodes
+            .iter()
+            .filter(|n| n.is_running())
+            .map(|n| &n.node)
+    }
+
+    /// Makes the fabric use all running entry instances.
     pub fn spray_to_all(&self) {
-        let addresses = self.nodes.iter().filter_map(|n| n.callers_address().ok());
+        let addresses = self.running().filter_map(|n| n.callers_address().ok());
         self.fabric.set_balancers(addresses.collect());
     }
 
@@ -185,13 +254,12 @@
     pub async fn wait_connected(&self) {
         for _ in 0..500 {
             if self
-                .nodes
-                .iter()
+                .running()
                 .all(|n| n.connected_targets() >= self.targets.len())
             {
                 return;
             }
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
 }
