--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,5 +24,7 @@
 /// A hash set with a fast, randomly seeded hasher.
 pub type FastSet<K> = std::collections::HashSet<K, foldhash::fast::RandomState>;
 
+#[cfg(test)]
+mod docs_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -141,3 +141,21 @@
         prop_assert_eq!(seen, numbers);
     }
 }
+
+/// Guards against tokens growing unnoticed; they are repeated in every datagram of a flow.
+#[test]
+fn token_stays_small() {
+    let keys = key_ring(1, 1);
+    let mut large = token();
+    large.service = ServiceId::new(u32::MAX);
+    large.target = Some(TokenTarget {
+        id: TargetId::new(u32::MAX),
+        incarnation: Incarnation::new(u64::MAX),
+    });
+    large.executor.incarnation = Incarnation::new(u64::MAX);
+
+    let size = large.seal(&keys).expect("seal").len();
+
+    println!("largest token: {size} bytes");
+    assert!(size <= 100, "{size}");
+}
