Add stand-in programs, the example fleet and the demo

Cause: nothing ran the daemon as a separate process or compared callers with targets. Change: programs standin-platform, -target, -fabric and -caller; open-loop load with a tally; a verdict that joins tallies with target records; examples and scripts/demo.sh. Ruled out: fixed ports (collide with other runs); judging by rates or times.

--- /dev/null
+++ b/crates/standins/src/bin/standin-caller.rs
@@ -0,0 +1,108 @@
+//! Callers of one service as a process, and the verdict on a run of several processes.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use pico_args::Arguments;
+use serde_json::json;
+use tanager_standins::load::{Mix, Tally, drive};
+use tanager_standins::program::{self, Ending, Failure};
+use tanager_standins::verdict::Truth;
+
+const HELP: &str = "\
+standin-caller: callers of one service, or the verdict on a run
+
+Usage: standin-caller --fabric ADDRESS --service NUMBER --report FILE [options]
+       standin-caller --verdict FILE...
+
+Options:
+  --fabric ADDRESS      where to send datagrams
+  --service NUMBER      the service to call
+  --report FILE         write how everything ended, as JSON
+  --name NAME           name of the service in the verdict
+  --seconds N           time during which load is sent; 30 by default
+  --feeds N             feeds to hold; 0 by default
+  --once RATE           non-repeatable requests a second; 0 by default
+  --repeatable RATE     repeatable requests a second; 0 by default
+  --answer-size BYTES   size of the targets' answers; 64 by default
+  --verdict             read reports of callers and targets and print one line of JSON
+  --help                print this text
+  --version             print the version
+
+Exit codes: 0 done, 1 failed or a promise was broken, 2 wrong arguments.
+";
+
+/// Time after the load during which the last requests and feeds end.
+const MARGIN: Duration = Duration::from_secs(8);
+
+fn main() -> ExitCode {
+    program::run("standin-caller", HELP, call)
+}
+
+async fn call(mut args: Arguments) -> Ending {
+    if args.contains("--verdict") {
+        return judge(args);
+    }
+    let fabric: SocketAddr = program::required(&mut args, "--fabric")?;
+    let report: String = program::required(&mut args, "--report")?;
+    let mix = Mix {
+        name: program::optional(&mut args, "--name", String::new())?,
+        service: program::required(&mut args, "--service")?,
+        feeds: program::optional(&mut args, "--feeds", 0)?,
+        once: program::optional(&mut args, "--once", 0.0)?,
+        repeatable: program::optional(&mut args, "--repeatable", 0.0)?,
+        answer_size: program::optional(&mut args, "--answer-size", 64)?,
+    };
+    let seconds = program::optional(&mut args, "--seconds", 30)?;
+    program::finish(args)?;
+    let time = Duration::from_secs(seconds);
+    let tallies = drive(fabric, &[mix], time).await.map_err(Failure::failed)?;
+    let text = serde_json::to_string(&tallies).map_err(Failure::failed)?;
+    std::fs::write(report, text).map_err(Failure::failed)
+}
+
+/// Prints the verdict. Feeds must survive, because balancers are the only parts that stopped.
+fn judge(args: Arguments) -> Ending {
+    let mut truth = Truth::default();
+    for path in args.finish() {
+        let text = program::read(&path.to_string_lossy())?;
+        match serde_json::from_str::<Vec<Tally>>(&text) {
+            Ok(tallies) => truth.tallies.extend(tallies),
+            Err(_) => truth
+                .records
+                .extend(serde_json::from_str::<Vec<_>>(&text).map_err(Failure::failed)?),
+        }
+    }
+    let mut breaches = truth.breaches();
+    let mut services = Vec::new();
+    for tally in &truth.tallies {
+        let served = tally.once.answered + tally.repeatable.answered;
+        if tally.feeds_broken > 0 {
+            let (number, service) = (tally.feeds_broken, &tally.name);
+            breaches.push(format!("{number} feeds of service {service} broke"));
+        }
+        if served == 0 {
+            breaches.push(format!("service {} answered nothing", tally.name));
+        }
+        services.push(json!({ "service": tally.name, "requests_served": served,
+            "not_run": tally.once.not_run + tally.repeatable.not_run,
+            "unknown": tally.once.unknown + tally.repeatable.unknown,
+            "feeds_held": tally.feeds_opened, "feeds_broken": tally.feeds_broken }));
+    }
+    if truth.tallies.is_empty() || truth.records.is_empty() {
+        breaches.push("reports are missing".to_owned());
+    }
+    println!(
+        "{}",
+        json!({ "services": services,
+        "feeds_held": truth.sum(|t| t.feeds_opened),
+        "feeds_broken": truth.sum(|t| t.feeds_broken),
+        "breaches": breaches })
+    );
+    if breaches.is_empty() {
+        Ok(())
+    } else {
+        Err(Failure::Breached)
+    }
+}
