--- a/crates/standins/src/bin/standin-caller.rs
+++ b/crates/standins/src/bin/standin-caller.rs
@@ -57,7 +57,10 @@
     let seconds = program::optional(&mut args, "--seconds", 30)?;
     program::finish(args)?;
     let time = Duration::from_secs(seconds);
-    let tallies = drive(fabric, &[mix], time).await.map_err(Failure::failed)?;
+    let tallies = tokio::time::timeout(time + MARGIN, drive(fabric, &[mix], time))
+        .await
+        .map_err(Failure::failed)?
+        .map_err(Failure::failed)?;
     let text = serde_json::to_string(&tallies).map_err(Failure::failed)?;
     std::fs::write(report, text).map_err(Failure::failed)
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -100,8 +100,9 @@
 call sheet-vault 4 --repeatable 40
 echo "demo: load for $seconds s; balancer 3 is killed after $((seconds / 2)) s"
 sleep $((seconds / 2))
+# Without disown the shell would report the killed job.
+disown "${balancers[2]}"
 kill -KILL "${balancers[2]}"
-wait "${balancers[2]}" 2>/dev/null || true
 for pid in "${callers[@]}"; do wait "$pid" || fail "a caller failed"; done
 for pid in "${targets[@]}"; do kill -TERM "$pid"; done
 for pid in "${targets[@]}"; do wait "$pid" || fail "a target failed"; done
