--- a/crates/proxy/src/catalogue/document.rs
+++ b/crates/proxy/src/catalogue/document.rs
@@ -164,7 +164,12 @@
     }
 }
 
-fn digest(text: &str) -> [u8; 16] {
+/// Identifies the text of a document.
+pub type Digest = [u8; 16];
+
+/// Returns the first 16 bytes of the text's BLAKE3 hash.
+#[must_use]
+pub fn digest(text: &str) -> Digest {
     let mut digest = [0; 16];
     digest.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..16]);
     digest
--- /dev/null
+++ b/crates/proxy/src/catalogue/pace_tests.rs
@@ -0,0 +1,91 @@
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+use crate::catalogue::pace::Pace;
+
+/// The design size.
+const INSTANCES: usize = 670;
+/// Documents that each instance watches.
+const DOCUMENTS: usize = 2;
+/// The longest wait of a watch in the default settings.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// How the platform behaves at a time.
+#[derive(Clone, Copy)]
+enum Platform {
+    Down,
+    Quiet,
+    Stale,
+}
+
+/// Simulates every watcher of the fleet and returns the largest number of calls in a second.
+fn busiest_second(platform: impl Fn(u64) -> Platform, changes: &[u64], seconds: usize) -> usize {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut calls = vec![0; seconds];
+    for _ in 0..INSTANCES * DOCUMENTS {
+        let mut pace = Pace::default();
+        // All calls end together at the start, as when the platform restarts.
+        let mut now = pace.after_failure(Some(INSTANCES), &mut rng);
+        while let Some(count) = calls.get_mut(usize::try_from(now.as_secs()).expect("fits")) {
+            *count += 1;
+            let delay = match platform(now.as_secs()) {
+                Platform::Down => pace.after_failure(Some(INSTANCES), &mut rng),
+                Platform::Stale => pace.after_unusable(INSTANCES, &mut rng),
+                Platform::Quiet => {
+                    let end = now + WAIT.mul_f64(rng.random_range(0.8..1.0));
+                    let mut changes = changes.iter().copied().map(Duration::from_secs);
+                    let change = changes.find(|c| *c > now && *c < end);
+                    now = change.unwrap_or(end);
+                    pace.after_answer(INSTANCES, &mut rng)
+                }
+            };
+            now += delay;
+        }
+    }
+    calls.into_iter().max().unwrap_or(0)
+}
+
+/// Guards against more than 100 calls a second when every watch breaks at once, during a long
+/// outage, and when the platform returns.
+#[test]
+fn reconnecting_fleet_stays_under_the_call_limit() {
+    let platform = |now| {
+        if now < 120 {
+            Platform::Down
+        } else {
+            Platform::Quiet
+        }
+    };
+
+    let busiest = busiest_second(platform, &[], 300);
+
+    assert!(busiest < 100, "{busiest} calls in a second");
+}
+
+/// Guards against a change making all watchers call again together.
+#[test]
+fn changes_do_not_make_all_watchers_call_together() {
+    let changes: Vec<u64> = (1..10).map(|i| i * 30).collect();
+
+    let busiest = busiest_second(|_| Platform::Quiet, &changes, 300);
+
+    assert!(busiest < 100, "{busiest} calls in a second");
+}
+
+/// Guards against a stale platform, which answers at once, being called in a loop, also when it
+/// flaps.
+#[test]
+fn stale_and_flapping_platform_is_called_rarely() {
+    let platform = |now| match (now / 5) % 3 {
+        0 => Platform::Stale,
+        1 => Platform::Quiet,
+        _ => Platform::Down,
+    };
+
+    let busiest = busiest_second(platform, &[], 300);
+
+    assert!(busiest < 100, "{busiest} calls in a second");
+}
--- a/crates/proxy/src/catalogue/reader.rs
+++ b/crates/proxy/src/catalogue/reader.rs
@@ -1,23 +1,23 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use rand::RngExt as _;
 use reqwest::StatusCode;
+use std::time::Duration;
 use tanager_core::Revision;
 
-use crate::catalogue::CatalogueStore;
+use crate::catalogue::pace::Pace;
+use crate::catalogue::{CatalogueStore, Digest, Source, digest};
 use crate::membership::Membership;
 use crate::settings::PlatformSettings;
 use crate::telemetry::{Counters, Log, Part};
 use crate::{Error, Result};
 
-/// First delay after a failed read; doubled up to [`BACKOFF_LIMIT`].
-const BACKOFF_START: Duration = Duration::from_millis(200);
-/// Longest delay between reads while the platform is down. With the fleet at 670 instances this
-/// keeps retries at about 130 a second.
-const BACKOFF_LIMIT: Duration = Duration::from_secs(5);
 /// Added to the wait of a watch before the call counts as failed.
 const REPLY_MARGIN: Duration = Duration::from_secs(2);
+/// Largest document accepted, in bytes. The platform publishes values of up to 1 MB.
+const DOCUMENT_LIMIT: usize = 1 << 20;
+/// Bytes of a request and of the head of its reply, about; they count as control traffic.
+const HEAD_BYTES: u64 = 150;
 
 /// Watches the platform's catalogue and instance list.
 pub struct Reader {
@@ -51,97 +51,136 @@
 
     /// Watches the catalogue for as long as the process lives.
     pub async fn watch_catalogue(self: Arc<Self>) {
-        let mut backoff = BACKOFF_START;
+        let mut watch = Watch::default();
         loop {
-            let after = self.store.current().revision;
-            match self.read("catalogue", after).await {
-                Ok(Some(text)) => {
-                    self.accept(&text);
-                    backoff = BACKOFF_START;
-                    // A platform serving old data answers at once; this bounds the call rate.
-                    if self.store.current().revision <= after {
-                        pause(Duration::from_secs(1)).await;
-                    }
-                }
-                Ok(None) => backoff = BACKOFF_START,
-                Err(error) => {
-                    self.log.warn(Part::Catalogue, &error);
-                    pause(backoff).await;
-                    backoff = (backoff * 2).min(BACKOFF_LIMIT);
-                }
-            }
+            let read = self.read("catalogue", self.store.watch_after()).await;
+            watch.note(&read, &self.log);
+            let used = match &read {
+                Ok(Some(text)) => Some(self.accept_catalogue(text.clone()).await),
+                _ => None,
+            };
+            tokio::time::sleep(self.delay(&mut watch, &read, used)).await;
         }
     }
 
     /// Watches the instance list for as long as the process lives.
     pub async fn watch_instances(self: Arc<Self>) {
-        let mut backoff = BACKOFF_START;
-        let mut after = Revision::new(0);
+        let mut watch = Watch::default();
         loop {
-            match self.read("instances", after).await {
-                Ok(Some(text)) => match self.membership.offer_list(&text) {
-                    Ok(revision) => {
-                        after = revision;
-                        backoff = BACKOFF_START;
-                    }
-                    Err(error) => {
-                        self.log.warn(Part::Membership, &error);
-                        pause(BACKOFF_LIMIT).await;
-                    }
-                },
-                Ok(None) => backoff = BACKOFF_START,
-                Err(_) => {
-                    pause(backoff).await;
-                    backoff = (backoff * 2).min(BACKOFF_LIMIT);
-                }
-            }
+            let after = self.membership.list().revision;
+            let read = self.read("instances", after).await;
+            // Failures are logged by the watch on the catalogue already.
+            let used = match &read {
+                Ok(Some(text)) => Some(self.accept_list(text, after, &mut watch)),
+                _ => None,
+            };
+            tokio::time::sleep(self.delay(&mut watch, &read, used)).await;
         }
     }
 
-    fn accept(&self, text: &str) {
-        match self.store.offer(text) {
-            Ok(catalogue) => {
-                let revision = catalogue.revision;
-                self.log.info(
-                    Part::Catalogue,
-                    format_args!("revision {revision} from the platform is in force"),
-                );
+    async fn accept_catalogue(&self, text: String) -> bool {
+        let before = self.store.current().revision;
+        let store = Arc::clone(&self.store);
+        let accepted = store.take(text, Source::Platform, &self.log).await;
+        // A peer may have delivered the same revision while the call was waiting.
+        let used = accepted || self.store.current().revision > before;
+        if !used {
+            self.counters.platform_unusable.increment();
+        }
+        used
+    }
+
+    fn accept_list(&self, text: &str, after: Revision, watch: &mut Watch) -> bool {
+        let offered = self.membership.offer_list(text);
+        let used = offered.as_ref().is_ok_and(|revision| *revision > after);
+        if let Err(error) = offered {
+            if watch.refused != Some(digest(text)) {
+                self.log.warn(Part::Membership, &error);
             }
-            Err(error) => self.log.warn(Part::Catalogue, &error),
+            watch.refused = Some(digest(text));
+        }
+        if !used {
+            self.counters.platform_unusable.increment();
+        }
+        used
+    }
+
+    fn delay(
+        &self,
+        watch: &mut Watch,
+        read: &Result<Option<String>>,
+        used: Option<bool>,
+    ) -> Duration {
+        let rng = &mut rand::rng();
+        let instances = self.membership.instance_count();
+        let known = self.membership.list().revision.get() > 0 || instances > 1;
+        match (read, used) {
+            (Err(_), _) => watch.pace.after_failure(known.then_some(instances), rng),
+            (_, Some(false)) => watch.pace.after_unusable(instances, rng),
+            _ => watch.pace.after_answer(instances, rng),
         }
     }
 
     async fn read(&self, document: &str, after: Revision) -> Result<Option<String>> {
         let address = self.platform.address;
-        let wait = self.platform.wait;
+        // Jitter keeps watches that began together from ending together.
+        let wait = self
+            .platform
+            .wait
+            .mul_f64(rand::rng().random_range(0.8..1.0));
         let url = format!(
             "http://{address}/v1/{document}?after={after}&wait_ms={}&zone={}",
             wait.as_millis(),
             self.membership.identity().zone
         );
         self.counters.platform_calls.increment();
+        self.counters.control_sent_bytes.add(HEAD_BYTES);
         let request = self.client.get(url).timeout(wait + REPLY_MARGIN);
-        let reply = request
+        let mut reply = request
             .send()
             .await
             .map_err(|e| Error::platform(address, &e))?;
+        self.counters.control_received_bytes.add(HEAD_BYTES);
         match reply.status() {
-            StatusCode::NOT_MODIFIED => Ok(None),
-            StatusCode::OK => {
-                let text = reply
-                    .text()
-                    .await
-                    .map_err(|e| Error::platform(address, &e))?;
-                self.counters.control_received_bytes.add(text.len() as u64);
-                Ok(Some(text))
+            StatusCode::NOT_MODIFIED => return Ok(None),
+            StatusCode::OK => {}
+            status => return Err(Error::platform(address, &status)),
+        }
+        let mut body = Vec::new();
+        while let Some(chunk) = reply
+            .chunk()
+            .await
+            .map_err(|e| Error::platform(address, &e))?
+        {
+            self.counters.control_received_bytes.add(chunk.len() as u64);
+            body.extend_from_slice(&chunk);
+            if body.len() > DOCUMENT_LIMIT {
+                let message = format!("{document} exceeds {DOCUMENT_LIMIT} bytes");
+                return Err(Error::platform(address, &message));
             }
-            status => Err(Error::platform(address, &status)),
         }
+        let text = String::from_utf8(body).map_err(|e| Error::platform(address, &e))?;
+        Ok(Some(text))
     }
 }
 
-/// Waits between half and all of `delay`, so that instances do not retry in step.
-async fn pause(delay: Duration) {
-    let factor = rand::rng().random_range(0.5..1.0);
-    tokio::time::sleep(delay.mul_f64(factor)).await;
+/// The state of one watch.
+#[derive(Default)]
+struct Watch {
+    pace: Pace,
+    /// Whether the last call failed; an outage is logged at its start and its end.
+    failing: bool,
+    /// Digest of the last refused document; it is logged once.
+    refused: Option<Digest>,
+}
+
+impl Watch {
+    fn note(&mut self, read: &Result<Option<String>>, log: &Log) {
+        match read {
+            Err(error) if !self.failing => log.warn(Part::Catalogue, error),
+            Ok(_) if self.failing => log.info(Part::Catalogue, "the platform can be read again"),
+            _ => {}
+        }
+        self.failing = read.is_err();
+    }
 }
--- a/crates/proxy/src/catalogue/store.rs
+++ b/crates/proxy/src/catalogue/store.rs
@@ -1,14 +1,23 @@
+use std::collections::VecDeque;
 use std::fmt;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use tanager_core::{ResultCode, Revision, invariant};
 use tokio::sync::watch;
 
-use crate::catalogue::Catalogue;
+use crate::catalogue::{Catalogue, Digest, digest};
 use crate::settings::Problem;
+use crate::telemetry::{Log, Part};
 use crate::{Error, Result};
 
+/// Documents remembered as reported. A platform that flaps between some stale replicas serves the
+/// same few documents again and again.
+const REPORTED_LIMIT: usize = 16;
+/// A refused revision is not read again until a newer one is published, unless it is further ahead
+/// than this; a wrong number must not hide later edits.
+const SKIP_LIMIT: u64 = 1_000;
+
 /// Where a catalogue came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -32,8 +41,20 @@
 pub struct CatalogueStore {
     current: ArcSwap<Catalogue>,
     changed: watch::Sender<Revision>,
-    /// Problems of the last refused catalogue, for status.
-    refused: Mutex<Vec<Problem>>,
+    refusals: Mutex<Refusals>,
+}
+
+/// What was refused, for status and to report each document once.
+#[derive(Debug, Default)]
+struct Refusals {
+    /// Problems of the last refused catalogue.
+    problems: Vec<Problem>,
+    /// Its digest and, if it has one, its revision.
+    last: Option<(Digest, Option<Revision>)>,
+    /// Whether another catalogue with the revision in force was seen.
+    conflict: bool,
+    /// Digests of reported documents. Invariant: at most [`REPORTED_LIMIT`].
+    reported: VecDeque<Digest>,
 }
 
 impl Default for CatalogueStore {
@@ -41,7 +62,7 @@
         Self {
             current: ArcSwap::from_pointee(Catalogue::empty()),
             changed: watch::Sender::new(Revision::new(0)),
-            refused: Mutex::default(),
+            refusals: Mutex::default(),
         }
     }
 }
@@ -62,10 +83,57 @@
     /// Returns the problems of the last refused catalogue.
     #[must_use]
     pub fn refused(&self) -> Vec<Problem> {
-        self.refused
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.refusals().problems.clone()
+    }
+
+    /// Returns whether another catalogue with the revision in force was seen.
+    #[must_use]
+    pub fn has_conflict(&self) -> bool {
+        self.refusals().conflict
+    }
+
+    /// Returns whether the last refused catalogue has this revision.
+    #[must_use]
+    pub fn is_refused(&self, revision: Revision) -> bool {
+        let last = self.refusals().last;
+        last.is_some_and(|(_, refused)| refused == Some(revision))
+    }
+
+    /// Returns the revision after which the platform has something new to offer.
+    #[must_use]
+    pub fn watch_after(&self) -> Revision {
+        let current = self.current.load().revision;
+        let limit = current.get().saturating_add(SKIP_LIMIT);
+        match self.refusals().last {
+            Some((_, Some(refused))) if refused.get() <= limit => current.max(refused),
+            _ => current,
+        }
+    }
+
+    /// Offers a catalogue on a thread for blocking work and logs the outcome, each document once.
+    /// Reading a large catalogue takes tens of milliseconds.
+    ///
+    /// Returns whether the catalogue is now in force.
+    pub async fn take(self: Arc<Self>, text: String, source: Source, log: &Log) -> bool {
+        let store = Arc::clone(&self);
+        let offer = tokio::task::spawn_blocking(move || (store.offer(&text), digest(&text)));
+        match offer.await {
+            Ok((Ok(catalogue), _)) => {
+                let revision = catalogue.revision;
+                let message = format_args!("revision {revision} from the {source} is in force");
+                log.info(Part::Catalogue, message);
+                true
+            }
+            Ok((Err(error), digest)) => {
+                // The catalogue in force arrives again by other ways; that is no fault.
+                if digest != self.current().digest && self.refusals().is_new(digest) {
+                    let message = format_args!("catalogue from the {source}: {error}");
+                    log.warn(Part::Catalogue, message);
+                }
+                false
+            }
+            Err(_) => false,
+        }
     }
 
     /// Checks a published catalogue and puts it in force if it is newer.
@@ -75,17 +143,24 @@
     /// Returns [`Error::Document`] if it has problems, and [`Error::Revision`] if it is not newer
     /// than the one in force. The one in force stays then.
     pub fn offer(&self, text: &str) -> Result<Arc<Catalogue>> {
-        let offered = Catalogue::read(text).inspect_err(|e| self.record(e))?;
+        let current = self.current();
+        // The catalogue in force need not be read again, however often it is served.
+        if digest(text) == current.digest {
+            return Err(not_newer(&current, &current));
+        }
+        let offered = Catalogue::read(text).inspect_err(|e| self.record(text, e))?;
         let offered = Arc::new(offered);
         // The lock makes compare and replace one step for concurrent offers.
-        let mut refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut refusals = self.refusals();
         let current = self.current.load_full();
         if offered.revision <= current.revision {
+            refusals.conflict |= is_conflict(&offered, &current);
             return Err(not_newer(&offered, &current));
         }
         self.current.store(Arc::clone(&offered));
-        refused.clear();
-        drop(refused);
+        refusals.problems.clear();
+        refusals.last = None;
+        refusals.conflict = false;
         self.changed.send_modify(|revision| {
             invariant!(
                 offered.revision > *revision,
@@ -95,20 +170,51 @@
             );
             *revision = offered.revision;
         });
+        drop(refusals);
         Ok(offered)
     }
 
-    fn record(&self, error: &Error) {
+    /// Notes that a peer has another catalogue with the revision in force, and returns whether
+    /// this is new and should be reported.
+    pub fn note_conflict(&self, digest: Digest) -> bool {
+        let mut refusals = self.refusals();
+        refusals.conflict = true;
+        refusals.is_new(digest)
+    }
+
+    fn record(&self, text: &str, error: &Error) {
         if let Error::Document { problems, .. } = error {
-            let mut refused = self.refused.lock().unwrap_or_else(PoisonError::into_inner);
-            refused.clone_from(problems);
+            let mut refusals = self.refusals();
+            refusals.problems.clone_from(problems);
+            refusals.last = Some((digest(text), revision_line(text)));
         }
     }
+
+    fn refusals(&self) -> MutexGuard<'_, Refusals> {
+        self.refusals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Refusals {
+    /// Returns whether a document was not reported yet, and remembers it as reported.
+    fn is_new(&mut self, digest: Digest) -> bool {
+        if self.reported.contains(&digest) {
+            return false;
+        }
+        if self.reported.len() >= REPORTED_LIMIT {
+            self.reported.pop_front();
+        }
+        self.reported.push_back(digest);
+        true
+    }
+}
+
+fn is_conflict(offered: &Catalogue, current: &Catalogue) -> bool {
+    offered.revision == current.revision && offered.digest != current.digest
 }
 
 fn not_newer(offered: &Catalogue, current: &Catalogue) -> Error {
-    let conflict = offered.revision == current.revision && offered.digest != current.digest;
-    let code = if conflict {
+    let code = if is_conflict(offered, current) {
         ResultCode::RevisionConflict
     } else {
         ResultCode::RevisionNotNewer
@@ -119,3 +225,9 @@
         current: current.revision.get(),
     }
 }
+
+/// Reads the revision of a document that may be invalid otherwise.
+fn revision_line(text: &str) -> Option<Revision> {
+    let line = text.lines().find_map(|l| l.strip_prefix("revision:"))?;
+    line.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/proxy/src/membership/gossip.rs
@@ -0,0 +1,263 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand::seq::SliceRandom as _;
+use serde::Serialize;
+use tanager_core::Revision;
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::catalogue::{CatalogueStore, Source};
+use crate::membership::{ListedInstance, Membership};
+use crate::peer::{CatalogueText, Heartbeat, Peers};
+use crate::telemetry::{Counters, Log, Part};
+use crate::usage::Usage;
+
+/// Time between two rounds of exchanges.
+const ROUND: Duration = Duration::from_secs(1);
+/// Peers of the own availability zone in a round.
+const OWN_ZONE: usize = 2;
+/// Peers in a round. With the replies this bounds heartbeats to about 12 a second.
+const FANOUT: usize = 3;
+/// Peers told at once about a new catalogue.
+const ANNOUNCE: usize = 4;
+/// Seeds asked at start.
+const SEEDS: usize = 8;
+/// Longest time at start before an instance serves with what it has.
+const SURVEY_LIMIT: Duration = Duration::from_secs(4);
+/// Longest delay before a pull. The platform usually delivers the same revision meanwhile.
+const PULL_DELAY: Duration = Duration::from_millis(300);
+/// Bytes around the arguments of a call: length, kind, request number, deadline, trace.
+const CALL_BYTES: u64 = 55;
+/// Bytes around the result of a call: length, kind, request number.
+const REPLY_BYTES: u64 = 8;
+
+/// Exchanges heartbeats with peers and fetches newer catalogues from them.
+pub struct Gossip {
+    /// The fleet as known here.
+    pub membership: Arc<Membership>,
+    /// The catalogue in force.
+    pub catalogue: Arc<CatalogueStore>,
+    /// Usage counters and rows.
+    pub usage: Arc<Usage>,
+    /// Connections to peers.
+    pub peers: Arc<Peers>,
+    /// Counters of the instance.
+    pub counters: Arc<Counters>,
+    /// The log.
+    pub log: Log,
+    /// Whether a pull is in progress; a catalogue may have 1 MB.
+    pub pulling: AtomicBool,
+    /// Whether the seeds were asked.
+    pub surveyed: AtomicBool,
+}
+
+impl Gossip {
+    /// Returns whether the seeds were asked at start, so that the catalogue in force is the newest
+    /// that any of them holds.
+    #[must_use]
+    pub fn is_surveyed(&self) -> bool {
+        self.surveyed.load(Ordering::Acquire)
+    }
+
+    /// Asks the seeds for what they know, for at most 4 s.
+    pub async fn survey(self: Arc<Self>, mut seeds: Vec<SocketAddr>) {
+        seeds.shuffle(&mut rand::rng());
+        seeds.truncate(SEEDS);
+        let asked = async {
+            let mut newest: Option<(Revision, SocketAddr)> = None;
+            let mut calls = self.exchange_with(&seeds, false);
+            while let Some(reply) = calls.join_next().await {
+                let offer = reply.ok().flatten().map(|h| (h.revision, h.address));
+                newest = newest.max(offer);
+            }
+            if let Some((revision, address)) = newest {
+                self.pull(revision, address).await;
+            }
+        };
+        let _ = tokio::time::timeout(SURVEY_LIMIT, asked).await;
+        self.surveyed.store(true, Ordering::Release);
+    }
+
+    /// Runs a round of exchanges every second for as long as the process lives.
+    pub async fn run(self: Arc<Self>) {
+        let mut next = Instant::now();
+        loop {
+            // Jitter keeps instances that were started together from calling in step.
+            next = Instant::now().max(next) + ROUND.mul_f64(rand::rng().random_range(0.9..1.1));
+            self.membership.tick();
+            let catalogue = self.catalogue.current();
+            self.usage.book(self.membership.identity(), &catalogue);
+            drop(catalogue);
+            let peers = self.choose();
+            self.exchange_with(&peers, true).detach_all();
+            sleep_until(next).await;
+        }
+    }
+
+    /// Tells peers about every newly accepted catalogue at once.
+    pub async fn announce(self: Arc<Self>) {
+        let mut revisions = self.catalogue.subscribe();
+        while revisions.changed().await.is_ok() {
+            revisions.borrow_and_update();
+            let mut others = addresses(self.membership.others());
+            others.shuffle(&mut rand::rng());
+            others.truncate(ANNOUNCE);
+            self.exchange_with(&others, false).detach_all();
+        }
+    }
+
+    /// Takes a peer's heartbeat and returns the own one.
+    pub fn answer(self: &Arc<Self>, heartbeat: &Heartbeat) -> Heartbeat {
+        self.received(heartbeat, CALL_BYTES);
+        let fill = heartbeat.rows < self.usage.row_count();
+        self.take(heartbeat);
+        let reply = self.compose(true, fill);
+        self.sent(&reply, REPLY_BYTES);
+        reply
+    }
+
+    /// Returns the catalogue in force if it is newer than what a peer has.
+    pub fn document(&self, after: Revision) -> Option<CatalogueText> {
+        let catalogue = self.catalogue.current();
+        let document = (catalogue.revision > after).then(|| CatalogueText {
+            text: catalogue.text.clone(),
+        });
+        self.received(&after, CALL_BYTES);
+        self.sent(&document, REPLY_BYTES);
+        document
+    }
+
+    fn exchange_with(self: &Arc<Self>, peers: &[SocketAddr], rows: bool) -> Calls {
+        let mut calls = JoinSet::new();
+        for address in peers.iter().copied() {
+            let gossip = Arc::clone(self);
+            let heartbeat = self.compose(rows, false);
+            calls.spawn(async move { gossip.exchange(address, heartbeat).await });
+        }
+        calls
+    }
+
+    async fn exchange(self: Arc<Self>, peer: SocketAddr, own: Heartbeat) -> Option<Heartbeat> {
+        self.sent(&own, CALL_BYTES);
+        if let Ok(reply) = self.peers.exchange(peer, own).await {
+            self.received(&reply, REPLY_BYTES);
+            self.take(&reply);
+            Some(reply)
+        } else {
+            self.counters.exchanges_failed.increment();
+            None
+        }
+    }
+
+    fn compose(&self, rows: bool, fill: bool) -> Heartbeat {
+        let identity = self.membership.identity();
+        let catalogue = self.catalogue.current();
+        Heartbeat {
+            name: identity.name.clone(),
+            incarnation: identity.incarnation,
+            zone: identity.zone.clone(),
+            region: identity.region.clone(),
+            address: identity.address,
+            state: self.membership.state(),
+            revision: catalogue.revision,
+            digest: catalogue.digest,
+            rows: self.usage.row_count(),
+            usage: if rows {
+                self.usage.select(identity, fill)
+            } else {
+                Vec::new()
+            },
+            members: self.membership.members(),
+        }
+    }
+
+    fn take(self: &Arc<Self>, heartbeat: &Heartbeat) {
+        self.membership.hear(heartbeat);
+        self.usage
+            .merge(self.membership.identity(), &heartbeat.usage);
+        let current = self.catalogue.current();
+        if heartbeat.revision > current.revision {
+            let gossip = Arc::clone(self);
+            let (revision, peer) = (heartbeat.revision, heartbeat.address);
+            tokio::spawn(async move { gossip.pull_later(revision, peer).await });
+        } else if heartbeat.revision == current.revision
+            && heartbeat.digest != current.digest
+            && self.catalogue.note_conflict(heartbeat.digest)
+        {
+            let (name, revision) = (&heartbeat.name, current.revision);
+            self.log.warn(
+                Part::Catalogue,
+                format_args!("{name} has another catalogue with revision {revision}"),
+            );
+        }
+    }
+
+    async fn pull_later(&self, revision: Revision, peer: SocketAddr) {
+        if self.pulling.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let factor = rand::rng().random_range(0.2..1.0);
+        sleep(PULL_DELAY.mul_f64(factor)).await;
+        self.pull(revision, peer).await;
+        self.pulling.store(false, Ordering::Release);
+    }
+
+    /// Fetches a peer's catalogue unless this instance has the revision by now.
+    async fn pull(&self, revision: Revision, peer: SocketAddr) {
+        let after = self.catalogue.current().revision;
+        if after >= revision || self.catalogue.is_refused(revision) {
+            return;
+        }
+        self.sent(&after, CALL_BYTES);
+        let Ok(Some(document)) = self.peers.catalogue(peer, after).await else {
+            return;
+        };
+        self.received(&document, REPLY_BYTES);
+        let store = Arc::clone(&self.catalogue);
+        store.take(document.text, Source::Peer, &self.log).await;
+    }
+
+    /// Chooses peers for a round: 2 of the own availability zone and 1 of another, or 3 of
+    /// whichever there are.
+    fn choose(&self) -> Vec<SocketAddr> {
+        let zone = &self.membership.identity().zone;
+        let mut others = self.membership.others();
+        others.shuffle(&mut rand::rng());
+        let (own, mut other): (Vec<_>, Vec<_>) = others.into_iter().partition(|i| i.zone == *zone);
+        let foreign = FANOUT - own.len().min(OWN_ZONE);
+        let rest = other.split_off(foreign.min(other.len()));
+        let missing = FANOUT - other.len();
+        let mut peers = addresses(other);
+        peers.extend(addresses(own).into_iter().take(missing));
+        peers.extend(addresses(rest).into_iter().take(FANOUT - peers.len()));
+        peers
+    }
+
+    fn sent(&self, message: &impl Serialize, envelope: u64) {
+        let bytes = size(message) + envelope;
+        self.counters.control_sent_bytes.add(bytes);
+    }
+
+    fn received(&self, message: &impl Serialize, envelope: u64) {
+        let bytes = size(message) + envelope;
+        self.counters.control_received_bytes.add(bytes);
+    }
+}
+
+type Calls = JoinSet<Option<Heartbeat>>;
+
+fn addresses(instances: Vec<ListedInstance>) -> Vec<SocketAddr> {
+    instances.into_iter().map(|i| i.address).collect()
+}
+
+/// Returns the size of a message as tarpc encodes it.
+fn size<T: Serialize>(message: &T) -> u64 {
+    let codec = std::pin::pin!(Bincode::<(), &T>::default());
+    codec.serialize(&message).map_or(0, |b| b.len() as u64)
+}
--- a/crates/proxy/src/membership/list.rs
+++ b/crates/proxy/src/membership/list.rs
@@ -19,7 +19,7 @@
 }
 
 /// One instance of the list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListedInstance {
     /// Unique name.
--- /dev/null
+++ b/crates/proxy/src/membership/tests.rs
@@ -0,0 +1,129 @@
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use tanager_core::{Incarnation, Revision};
+
+use crate::Identity;
+use crate::membership::{InstanceState, MEMBERS_LIMIT, Member, Membership};
+use crate::peer::Heartbeat;
+
+fn address(number: u64) -> SocketAddr {
+    let port = 7_000 + u16::try_from(number).expect("port");
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn membership() -> Membership {
+    Membership::new(Identity {
+        name: "node-0".parse().expect("name"),
+        zone: "a".parse().expect("zone"),
+        region: "addis".parse().expect("region"),
+        incarnation: Incarnation::new(1),
+        address: address(0),
+    })
+}
+
+fn heartbeat(number: u64, incarnation: u64, state: InstanceState) -> Heartbeat {
+    Heartbeat {
+        name: format!("node-{number}").parse().expect("name"),
+        incarnation: Incarnation::new(incarnation),
+        zone: "a".parse().expect("zone"),
+        region: "addis".parse().expect("region"),
+        address: address(number),
+        state,
+        revision: Revision::new(1),
+        digest: [0; 16],
+        rows: 0,
+        usage: Vec::new(),
+        members: Vec::new(),
+    }
+}
+
+fn list(revision: u64, numbers: impl Iterator<Item = u64>) -> String {
+    let mut text = format!("revision: {revision}\ninstances:\n");
+    for number in numbers {
+        let _ = writeln!(
+            text,
+            "- {{ name: node-{number}, zone: a, region: addis, address: \"{}\", state: live }}",
+            address(number)
+        );
+    }
+    text
+}
+
+/// Guards against limits divided by too few while the list lags behind a new instance.
+#[test]
+fn heard_members_count_before_they_are_listed() {
+    let membership = membership();
+    membership.offer_list(&list(1, 0..3)).expect("list");
+
+    membership.hear(&heartbeat(3, 4, InstanceState::Live));
+    membership.tick();
+
+    assert_eq!(membership.instance_count(), 4);
+    assert_eq!(membership.members().len(), 1, "others must learn of it");
+}
+
+/// Guards against parts of a limit that grow at once when instances leave the list: others may
+/// still use the smaller parts.
+#[test]
+fn largest_count_of_the_window_holds() {
+    let membership = membership();
+    membership.offer_list(&list(1, 0..8)).expect("list");
+
+    membership.offer_list(&list(2, 0..4)).expect("list");
+
+    assert_eq!(membership.instance_count(), 8);
+    assert_eq!(membership.others().len(), 3);
+}
+
+/// Guards against a stale platform taking the list back.
+#[test]
+fn older_list_is_ignored() {
+    let membership = membership();
+    membership.offer_list(&list(5, 0..8)).expect("list");
+
+    let revision = membership.offer_list(&list(4, 0..2)).expect("valid");
+
+    assert_eq!(revision, Revision::new(5));
+    assert_eq!(membership.list().instances.len(), 8);
+}
+
+/// Guards against a late message that makes a leaving instance look live again.
+#[test]
+fn leaving_incarnation_stays_leaving() {
+    let membership = membership();
+    membership.hear(&heartbeat(1, 2, InstanceState::Leaving));
+
+    membership.hear(&heartbeat(1, 2, InstanceState::Live));
+
+    assert_eq!(membership.others()[0].state, InstanceState::Leaving);
+}
+
+/// Guards against an earlier life of an instance coming back through a third one.
+#[test]
+fn replaced_incarnation_does_not_return() {
+    let membership = membership();
+    membership.hear(&heartbeat(1, 2, InstanceState::Leaving));
+    membership.hear(&heartbeat(1, 3, InstanceState::Live));
+
+    let mut relayed = heartbeat(2, 9, InstanceState::Live);
+    let old = heartbeat(1, 2, InstanceState::Leaving);
+    relayed.members = vec![Member {
+        instance: membership.others()[0].clone(),
+        incarnation: old.incarnation,
+        age_ms: 0,
+    }];
+    membership.hear(&relayed);
+
+    let name = "node-1".parse().expect("name");
+    assert_eq!(membership.incarnation(&name), Some(Incarnation::new(3)));
+}
+
+/// Guards against heartbeats that grow with the fleet.
+#[test]
+fn members_in_a_heartbeat_are_bounded() {
+    let membership = membership();
+    (1..=100).for_each(|n| membership.hear(&heartbeat(n, n + 1, InstanceState::Live)));
+
+    assert_eq!(membership.members().len(), MEMBERS_LIMIT);
+}
--- a/crates/proxy/src/membership/view.rs
+++ b/crates/proxy/src/membership/view.rs
@@ -1,19 +1,31 @@
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use tanager_core::Revision;
+use tanager_core::{Clock, FastSet, Incarnation, InstanceName, Millis, Revision};
 
-use crate::membership::{InstanceList, ListedInstance};
+use crate::membership::heard::Heard;
+use crate::membership::{InstanceList, InstanceState, ListedInstance, Member};
+use crate::peer::Heartbeat;
 use crate::{Identity, Result};
 
+/// How long the largest instance count divides limits. The published list of a reader that lags
+/// by less than this cannot make the parts of a limit add up to more than the limit.
+const COUNT_WINDOW: Duration = Duration::from_secs(30);
+
 /// What this instance knows about the fleet.
 #[derive(Debug)]
 pub struct Membership {
     identity: Identity,
+    clock: Clock,
     list: ArcSwap<InstanceList>,
     leaving: AtomicBool,
+    heard: Mutex<Heard>,
+    /// Largest count of the last [`COUNT_WINDOW`].
+    count: AtomicUsize,
+    /// Counts of the last [`COUNT_WINDOW`] with their time.
+    counts: Mutex<Vec<(Millis, usize)>>,
 }
 
 impl Membership {
@@ -26,8 +38,12 @@
         };
         Self {
             identity,
+            clock: Clock::start(),
             list: ArcSwap::from_pointee(list),
             leaving: AtomicBool::new(false),
+            heard: Mutex::default(),
+            count: AtomicUsize::new(1),
+            counts: Mutex::default(),
         }
     }
 
@@ -44,9 +60,13 @@
     /// Returns [`crate::Error::Document`] if the list is not valid; the old one stays.
     pub fn offer_list(&self, text: &str) -> Result<Revision> {
         let offered = InstanceList::read(text)?;
+        // The lock makes compare and replace one step for concurrent offers.
+        let heard = self.heard();
         if offered.revision > self.list.load().revision {
             self.list.store(Arc::new(offered));
         }
+        drop(heard);
+        self.recount(self.clock.now());
         Ok(self.list.load().revision)
     }
 
@@ -56,32 +76,124 @@
         self.list.load_full()
     }
 
-    /// Returns how many instances share the limits; at least 1.
+    /// Returns how many instances share the limits: the largest number of the last 30 s, counting
+    /// the published ones and those heard from; at least 1.
     #[must_use]
     pub fn instance_count(&self) -> usize {
-        self.list.load().instances.len().max(1)
+        self.count.load(Ordering::Relaxed)
     }
 
-    /// Returns the other instances of the list.
+    /// Returns the other instances: the published ones, and those that were heard from lately
+    /// with what they say about themselves.
     #[must_use]
     pub fn others(&self) -> Vec<ListedInstance> {
-        let own: SocketAddr = self.identity.address;
+        let heard = self.heard().fresh(self.clock.now());
         let list = self.list.load();
-        list.instances
-            .iter()
-            .filter(|i| i.address != own)
-            .cloned()
+        let mut known: FastSet<InstanceName> =
+            heard.iter().map(|m| m.instance.name.clone()).collect();
+        known.insert(self.identity.name.clone());
+        let unheard = list.instances.iter().filter(|i| !known.contains(&i.name));
+        let unheard = unheard.cloned();
+        let others = heard.into_iter().map(|m| m.instance).chain(unheard);
+        others
+            .filter(|i| i.address != self.identity.address)
             .collect()
     }
 
+    /// Takes what a peer says about itself and about others.
+    pub fn hear(&self, heartbeat: &Heartbeat) {
+        let now = self.clock.now();
+        let sender = Member {
+            instance: ListedInstance {
+                name: heartbeat.name.clone(),
+                zone: heartbeat.zone.clone(),
+                region: heartbeat.region.clone(),
+                address: heartbeat.address,
+                state: heartbeat.state,
+            },
+            incarnation: heartbeat.incarnation,
+            age_ms: 0,
+        };
+        let mut heard = self.heard();
+        for member in std::iter::once(&sender).chain(&heartbeat.members) {
+            if member.instance.name != self.identity.name {
+                heard.take(member, now);
+            }
+        }
+    }
+
+    /// Returns members for a heartbeat: those that the published list lacks or shows differently.
+    #[must_use]
+    pub fn members(&self) -> Vec<Member> {
+        let list = self.list.load();
+        let listed: FastSet<&ListedInstance> = list.instances.iter().collect();
+        self.heard().select(self.clock.now(), &listed)
+    }
+
+    /// Forgets instances that were not heard from for long, and counts the rest. Called every
+    /// second.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        self.heard().expire(now);
+        self.recount(now);
+    }
+
+    /// Returns the incarnation of an instance that was heard from.
+    #[must_use]
+    pub fn incarnation(&self, name: &InstanceName) -> Option<Incarnation> {
+        if *name == self.identity.name {
+            return Some(self.identity.incarnation);
+        }
+        self.heard().incarnation(name)
+    }
+
+    /// Returns whether an instance is published or was heard from within some seconds.
+    #[must_use]
+    pub fn is_member(&self, name: &InstanceName) -> bool {
+        let list = self.list.load();
+        *name == self.identity.name
+            || list.instances.iter().any(|i| i.name == *name)
+            || self.heard().is_fresh(name, self.clock.now())
+    }
+
+    /// Returns the number of other instances that were heard from within some seconds.
+    #[must_use]
+    pub fn heard_count(&self) -> usize {
+        self.heard().fresh(self.clock.now()).len()
+    }
+
     /// Returns whether this instance is stopping.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Returns this instance's state as told to peers.
+    #[must_use]
+    pub fn state(&self) -> InstanceState {
+        if self.is_leaving() {
+            InstanceState::Leaving
+        } else {
+            InstanceState::Live
+        }
+    }
+
     /// Marks this instance as stopping. It never takes new work again.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
     }
+
+    fn recount(&self, now: Millis) {
+        // `others` excludes this instance, which need not be published yet.
+        let present = self.others().len() + 1;
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        counts.retain(|(at, count)| now.since(*at) <= COUNT_WINDOW && *count > present);
+        counts.push((now, present));
+        let largest = counts.iter().map(|(_, count)| *count).max();
+        self.count.store(largest.unwrap_or(1), Ordering::Relaxed);
+    }
+
+    fn heard(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use crate::catalogue::{CatalogueStore, Reader};
 use crate::execution::{Execution, RequestTable};
 use crate::flow::{CallerSocket, Flows, PendingOpens, ReturnPath};
-use crate::membership::{InstanceState, Membership};
+use crate::membership::{Gossip, Membership};
 use crate::peer::{CatalogueText, Heartbeat, Network, PeerHandler, Peers, RelayReply, Relayed};
 use crate::routing::Router;
 use crate::settings::Settings;
@@ -30,6 +31,7 @@
 pub struct Node {
     pub(crate) catalogue: Arc<CatalogueStore>,
     pub(crate) membership: Arc<Membership>,
+    pub(crate) gossip: Arc<Gossip>,
     pub(crate) targets: Arc<TargetPool>,
     pub(crate) router: Arc<Router>,
     pub(crate) execution: Arc<Execution>,
@@ -83,6 +85,9 @@
         ));
         tokio::spawn(Arc::clone(&reader).watch_catalogue());
         tokio::spawn(reader.watch_instances());
+        tokio::spawn(Arc::clone(&node.gossip).survey(settings.seeds));
+        tokio::spawn(Arc::clone(&node.gossip).run());
+        tokio::spawn(Arc::clone(&node.gossip).announce());
         tokio::spawn(Arc::clone(&node).follow_catalogue());
         tokio::spawn(Arc::clone(&node).receive());
         Ok(node)
@@ -140,10 +145,13 @@
         self.catalogue.current().revision
     }
 
-    /// Returns whether a catalogue is in force and the instance is not leaving.
+    /// Returns whether a catalogue is in force, the seeds were asked for a newer one, and the
+    /// instance is not leaving.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.catalogue.current().revision.get() > 0 && !self.membership.is_leaving()
+        self.catalogue.current().revision.get() > 0
+            && self.gossip.is_surveyed()
+            && !self.membership.is_leaving()
     }
 
     fn assemble(
@@ -173,9 +181,20 @@
             Arc::clone(&usage),
             Arc::clone(&counters),
         ));
+        let peers = Arc::new(Peers::new(Arc::clone(&network)));
+        let gossip = Arc::new(Gossip {
+            membership: Arc::clone(&membership),
+            catalogue: Arc::clone(&catalogue),
+            usage: Arc::clone(&usage),
+            peers: Arc::clone(&peers),
+            counters: Arc::clone(&counters),
+            log: log.clone(),
+            pulling: AtomicBool::new(false),
+            surveyed: AtomicBool::new(false),
+        });
         let targets = Arc::new(TargetPool::new(
             identity,
-            Arc::clone(&network),
+            network,
             return_path,
             clock,
             log.clone(),
@@ -192,7 +211,7 @@
             admission: Arc::clone(&admission),
             router: Arc::clone(&router),
             membership: Arc::clone(&membership),
-            peers: Arc::new(Peers::new(network)),
+            peers,
             usage: Arc::clone(&usage),
             counters: Arc::clone(&counters),
             clock,
@@ -214,6 +233,7 @@
         Self {
             catalogue,
             membership,
+            gossip,
             targets,
             router,
             execution,
@@ -276,28 +296,12 @@
 }
 
 impl PeerHandler for Node {
-    fn exchange(&self, _heartbeat: Heartbeat) -> Heartbeat {
-        let identity = self.membership.identity();
-        let leaving = self.membership.is_leaving();
-        Heartbeat {
-            name: identity.name.clone(),
-            incarnation: identity.incarnation,
-            zone: identity.zone.clone(),
-            address: identity.address,
-            state: if leaving {
-                InstanceState::Leaving
-            } else {
-                InstanceState::Live
-            },
-            revision: self.catalogue.current().revision,
-        }
+    fn exchange(&self, heartbeat: Heartbeat) -> Heartbeat {
+        self.gossip.answer(&heartbeat)
     }
 
     fn catalogue(&self, after: Revision) -> Option<CatalogueText> {
-        let catalogue = self.catalogue.current();
-        (catalogue.revision > after).then(|| CatalogueText {
-            text: catalogue.text.clone(),
-        })
+        self.gossip.document(after)
     }
 
     fn relay(&self, relayed: Relayed) -> RelayReply {
--- a/crates/proxy/src/peer/service.rs
+++ b/crates/proxy/src/peer/service.rs
@@ -1,11 +1,12 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::{Incarnation, InstanceName, Revision, ZoneName};
+use tanager_core::{Incarnation, InstanceName, RegionName, Revision, ZoneName};
 
-use crate::membership::InstanceState;
+use crate::membership::{InstanceState, Member};
+use crate::usage::UsageRow;
 
-/// What an instance tells a peer about itself.
+/// What an instance tells a peer about itself and the fleet.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender's name.
@@ -14,12 +15,25 @@
     pub incarnation: Incarnation,
     /// The sender's availability zone.
     pub zone: ZoneName,
+    /// The sender's region.
+    pub region: RegionName,
     /// Where peers reach the sender.
     pub address: SocketAddr,
     /// Whether the sender is leaving.
     pub state: InstanceState,
     /// The sender's catalogue revision.
     pub revision: Revision,
+    /// Digest of the sender's catalogue; tells two catalogues with one revision apart.
+    pub digest: [u8; 16],
+    /// Usage rows that the sender knows; a receiver that knows more fills its reply.
+    pub rows: u32,
+    /// Usage rows, changed ones first; at most [`crate::usage::ROWS_LIMIT`].
+    pub usage: Vec<UsageRow>,
+    /// Instances that the published list lacks or shows differently; at most
+    /// [`crate::membership::MEMBERS_LIMIT`].
+    pub members: Vec<Member>,
+    // The rows of admission, `demand: Vec<Demand>` and `loans: Vec<Loan>`, are added here. They
+    // are filled in by `Gossip::compose` and handed over by `Gossip::take`.
 }
 
 /// A published catalogue passed on by a peer.
--- a/crates/proxy/src/telemetry/metrics.rs
+++ b/crates/proxy/src/telemetry/metrics.rs
@@ -66,6 +66,10 @@
     pub control_sent_bytes: Counter,
     /// Bytes received for control.
     pub control_received_bytes: Counter,
+    /// Exchanges with peers that failed.
+    pub exchanges_failed: Counter,
     /// Calls on the platform.
     pub platform_calls: Counter,
+    /// Documents of the platform that were stale or invalid.
+    pub platform_unusable: Counter,
 }
--- a/crates/proxy/src/usage/counters.rs
+++ b/crates/proxy/src/usage/counters.rs
@@ -1,8 +1,6 @@
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::{FastMap, ServiceId};
 
 /// Something that an owner uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,7 +13,7 @@
     Bytes(u64),
 }
 
-/// The use of one service, as far as this instance counted it.
+/// Counters of what was used. They only grow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ServiceUsage {
     /// Requests run.
@@ -28,34 +26,44 @@
     pub bytes: u64,
 }
 
-/// Counts usage by service.
-#[derive(Debug, Default)]
-pub struct Usage {
-    services: Mutex<FastMap<ServiceId, ServiceUsage>>,
-}
-
-impl Usage {
+impl ServiceUsage {
     /// Counts an event.
-    pub fn record(&self, service: ServiceId, event: UsageEvent) {
-        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let usage = services.entry(service).or_default();
+    pub fn count(&mut self, event: UsageEvent) {
         match event {
             UsageEvent::Run(time) => {
-                usage.requests += 1;
-                usage.slot_ms += millis(time);
+                self.requests += 1;
+                self.slot_ms += millis(time);
             }
-            UsageEvent::Held(time) => usage.held_ms += millis(time),
-            UsageEvent::Bytes(bytes) => usage.bytes += bytes,
+            UsageEvent::Held(time) => self.held_ms += millis(time),
+            UsageEvent::Bytes(bytes) => self.bytes += bytes,
         }
     }
 
-    /// Returns what this instance counted so far.
+    /// Returns the larger value of each counter.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        self.combine(other, u64::max)
+    }
+
+    /// Returns the sum of each counter.
     #[must_use]
-    pub fn services(&self) -> Vec<(ServiceId, ServiceUsage)> {
-        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut rows: Vec<_> = services.iter().map(|(s, u)| (*s, *u)).collect();
-        rows.sort_by_key(|(service, _)| *service);
-        rows
+    pub fn plus(self, other: Self) -> Self {
+        self.combine(other, u64::saturating_add)
+    }
+
+    /// Returns what was counted since `earlier`.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        self.combine(earlier, u64::saturating_sub)
+    }
+
+    fn combine(self, other: Self, f: impl Fn(u64, u64) -> u64) -> Self {
+        Self {
+            requests: f(self.requests, other.requests),
+            slot_ms: f(self.slot_ms, other.slot_ms),
+            held_ms: f(self.held_ms, other.held_ms),
+            bytes: f(self.bytes, other.bytes),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/proxy/src/usage/ledger.rs
@@ -0,0 +1,165 @@
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use serde::Serialize;
+use tanager_core::{Clock, FastMap, Incarnation, InstanceName, OwnerName, ServiceId};
+
+use crate::Identity;
+use crate::catalogue::Catalogue;
+use crate::usage::{RowKey, Rows, ServiceUsage, UsageEvent, UsageRow};
+
+/// Counts usage by service, and holds the rows of the whole fleet.
+#[derive(Debug)]
+pub struct Usage {
+    clock: Clock,
+    services: Mutex<FastMap<ServiceId, Account>>,
+    rows: Mutex<Rows>,
+}
+
+/// What this instance counted for one service.
+#[derive(Debug, Default)]
+struct Account {
+    total: ServiceUsage,
+    /// The part of `total` that is in a row already. Invariant: at most `total`.
+    booked: ServiceUsage,
+    /// Set when the service is first seen in a catalogue; usage that is counted after the service
+    /// was removed still belongs to it.
+    owner: Option<OwnerName>,
+}
+
+/// Usage of the fleet as this instance knows it.
+#[derive(Debug, Default, Serialize)]
+pub struct FleetUsage {
+    /// Sums over all rows.
+    pub owners: BTreeMap<String, ServiceUsage>,
+    /// Rows of instances that still count.
+    pub rows_live: usize,
+    /// Rows of instances or incarnations that are gone.
+    pub rows_retired: usize,
+    /// Age of the youngest live row in milliseconds.
+    pub youngest_ms: u64,
+    /// Median age of the live rows in milliseconds.
+    pub median_ms: u64,
+    /// Age of the oldest live row in milliseconds.
+    pub oldest_ms: u64,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Self {
+            clock: Clock::start(),
+            services: Mutex::default(),
+            rows: Mutex::default(),
+        }
+    }
+}
+
+impl Usage {
+    /// Counts an event.
+    pub fn record(&self, service: ServiceId, event: UsageEvent) {
+        self.accounts()
+            .entry(service)
+            .or_default()
+            .total
+            .count(event);
+    }
+
+    /// Returns what this instance counted so far.
+    #[must_use]
+    pub fn services(&self) -> Vec<(ServiceId, ServiceUsage)> {
+        let services = self.accounts();
+        let mut rows: Vec<_> = services.iter().map(|(s, a)| (*s, a.total)).collect();
+        rows.sort_by_key(|(service, _)| *service);
+        rows
+    }
+
+    /// Moves what was counted since the last call into the own rows, by owner.
+    pub fn book(&self, identity: &Identity, catalogue: &Catalogue) {
+        let now = self.clock.now();
+        let mut services = self.accounts();
+        let mut rows = self.rows();
+        rows.refresh(identity.incarnation, now);
+        for (service, account) in services.iter_mut() {
+            let entry = catalogue.entry(*service);
+            if let Some(owner) = entry.map(|e| e.owner.clone()) {
+                account.owner = Some(owner);
+            }
+            let new = account.total.since(account.booked);
+            let Some(owner) = account.owner.clone() else {
+                continue;
+            };
+            if new != ServiceUsage::default() {
+                rows.count(row_key(identity, owner), new, now);
+                account.booked = account.total;
+            }
+        }
+        rows.expire(now);
+    }
+
+    /// Returns the rows for a heartbeat; see [`Rows::select`].
+    #[must_use]
+    pub fn select(&self, identity: &Identity, fill: bool) -> Vec<UsageRow> {
+        self.rows()
+            .select(identity.incarnation, fill, self.clock.now())
+    }
+
+    /// Merges rows of a peer. Own rows are written by this instance only.
+    pub fn merge(&self, identity: &Identity, offered: &[UsageRow]) {
+        let now = self.clock.now();
+        let mut rows = self.rows();
+        let foreign = |row: &&UsageRow| row.key.incarnation != identity.incarnation;
+        for row in offered.iter().filter(foreign) {
+            rows.merge(row, now);
+        }
+    }
+
+    /// Returns the number of rows known.
+    #[must_use]
+    pub fn row_count(&self) -> u32 {
+        u32::try_from(self.rows().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns every row with its present age.
+    #[must_use]
+    pub fn rows_by_key(&self) -> Vec<UsageRow> {
+        self.rows().list(self.clock.now())
+    }
+
+    /// Sums the rows by owner. `counts` tells whether an incarnation is still expected to count.
+    #[must_use]
+    pub fn fleet(&self, counts: impl Fn(&InstanceName, Incarnation) -> bool) -> FleetUsage {
+        let mut fleet = FleetUsage::default();
+        let mut ages = Vec::new();
+        for row in self.rows_by_key() {
+            let sum = fleet.owners.entry(row.key.owner.to_string()).or_default();
+            *sum = sum.plus(row.usage);
+            if counts(&row.key.instance, row.key.incarnation) {
+                ages.push(row.age_ms);
+            } else {
+                fleet.rows_retired += 1;
+            }
+        }
+        ages.sort_unstable();
+        fleet.rows_live = ages.len();
+        fleet.youngest_ms = ages.first().copied().unwrap_or(0);
+        fleet.median_ms = ages.get(ages.len() / 2).copied().unwrap_or(0);
+        fleet.oldest_ms = ages.last().copied().unwrap_or(0);
+        fleet
+    }
+
+    fn accounts(&self) -> MutexGuard<'_, FastMap<ServiceId, Account>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn row_key(identity: &Identity, owner: OwnerName) -> RowKey {
+    RowKey {
+        instance: identity.name.clone(),
+        incarnation: identity.incarnation,
+        owner,
+    }
+}
