Report every problem of a document with its line

Cause: serde stops at the first unknown key or wrong type and gave no lines, so operators fixed one fault per attempt. Ruled out: serde structs with Spanned fields (still stop at the first fault, and lose repeated keys); a second parse only for errors (two readers of one format can disagree). Change: settings, catalogue and instance list are read into a tree with the place of every value; sections of it are checked with all problems collected. Error and Problem are miette diagnostics that show the source line. `settings::check` and `catalogue::check` return the problems for the operator tool. New refusals: repeated keys, unusable addresses, repeated seeds and key numbers, implausible revisions, rates, queues, slots and flows, zero numbers, minimums whose sum exceeds the owner's limit. The raw serde types are removed; nothing else used them.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -77,7 +77,7 @@
     let text = std::fs::read_to_string(path)
         .into_diagnostic()
         .wrap_err_with(|| format!("cannot read settings {}", path.display()))?;
-    let settings = Settings::read(&text).into_diagnostic()?;
+    let settings = Settings::read(&text)?;
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
     let clock = Clock::start();
--- /dev/null
+++ b/crates/proxy/src/catalogue/check.rs
@@ -0,0 +1,218 @@
+use std::ops::RangeInclusive;
+
+use tanager_core::{
+    FastMap, Incarnation, OwnerName, Rate, ResultCode, Revision, ServiceId, TargetId,
+};
+
+use crate::catalogue::{Catalogue, Class, Entry, Limits, Owner, Target, TargetState};
+use crate::settings::{Checker, Problem, Section, problems_of};
+
+/// Larger revisions are taken for errors; one of them would hide all later edits.
+const REVISIONS: RangeInclusive<u64> = 1..=1_000_000_000_000;
+/// Service and target numbers; 0 is what a missing number looks like in a packet.
+const NUMBERS: RangeInclusive<u64> = 1..=u32::MAX as u64;
+/// Open feeds over the fleet; the design size is 19 million.
+const FLOWS: RangeInclusive<u64> = 0..=1_000_000_000;
+/// Requests a second; the largest value that is not taken for an error.
+const RATE_LIMIT: f64 = 100_000_000.0;
+/// Requests that may wait in one instance, per service.
+const QUEUES: RangeInclusive<u64> = 1..=65_536;
+/// Slots of a target.
+const SLOTS: RangeInclusive<u64> = 1..=10_000;
+/// Open feeds of a target.
+const TARGET_FLOWS: RangeInclusive<u64> = 0..=10_000_000;
+
+/// Returns the problems of a catalogue file, each with its line.
+#[must_use]
+pub fn check(text: &str) -> Vec<Problem> {
+    problems_of(Catalogue::read(text))
+}
+
+pub(super) fn check_catalogue(top: &Section<'_>, check: &mut Checker) -> Option<Catalogue> {
+    top.expect(check, &["revision", "owners", "entries"], &[]);
+    let revision = top.number(check, "revision", REVISIONS);
+    let mut owners = FastMap::default();
+    // An owner with a problem of its own is still defined.
+    let mut defined = Vec::new();
+    for section in top.sections(check, "owners") {
+        defined.extend(section.parse::<OwnerName>(&mut Checker::default(), "name"));
+        if let Some(owner) = check_owner(&section, check) {
+            owners.insert(owner.name.clone(), owner);
+        }
+    }
+    let mut entries = FastMap::default();
+    let mut services = FastMap::default();
+    for section in top.sections(check, "entries") {
+        if let Some(entry) = check_entry(&section, &defined, check) {
+            services.extend(entry.targets.iter().map(|t| (t.id, entry.service)));
+            entries.insert(entry.service, entry);
+        }
+    }
+    check_minimums(top, &owners, &entries, check);
+    Some(Catalogue {
+        revision: Revision::new(revision?),
+        owners,
+        entries,
+        services,
+        ..Catalogue::empty()
+    })
+}
+
+fn check_owner(section: &Section<'_>, check: &mut Checker) -> Option<Owner> {
+    section.expect(check, &["name", "limits"], &[]);
+    check_unique(section, check, "owner", "name");
+    let name = section.parse(check, "name");
+    let limits = section.section(check, "limits")?;
+    limits.expect(check, &["requests", "flows"], &[]);
+    let requests = check_rate(&limits, check, "requests", 1.0);
+    let flows = limits.number(check, "flows", FLOWS);
+    Some(Owner {
+        name: name?,
+        requests: requests?,
+        flows: flows?,
+    })
+}
+
+fn check_entry(section: &Section<'_>, defined: &[OwnerName], check: &mut Checker) -> Option<Entry> {
+    let keys = ["service", "number", "owner", "class", "limits", "targets"];
+    section.expect(check, &keys, &[]);
+    check_unique(section, check, "service", "service");
+    let service = check_number(section, check, "service number");
+    let name = section.parse(check, "service");
+    let owner: Option<OwnerName> = section.parse(check, "owner");
+    if let Some(owner) = owner.as_ref().filter(|o| !defined.contains(o)) {
+        let message = format!("owner {owner} is not defined");
+        let (path, place) = (section.path("owner"), section.place_of("owner"));
+        check.report(ResultCode::DocumentReference, &path, place, message);
+    }
+    let classes = [
+        ("urgent", Class::Urgent),
+        ("normal", Class::Normal),
+        ("background", Class::Background),
+    ];
+    let class = section.choice(check, "class", &classes);
+    let limits = section
+        .section(check, "limits")
+        .and_then(|limits| check_limits(&limits, check));
+    let targets = section.sections(check, "targets");
+    let targets = targets.iter().filter_map(|t| check_target(t, check));
+    let targets = targets.collect();
+    Some(Entry {
+        service: ServiceId::new(service?),
+        name: name?,
+        owner: owner?,
+        class: class?,
+        limits: limits?,
+        targets,
+    })
+}
+
+fn check_limits(section: &Section<'_>, check: &mut Checker) -> Option<Limits> {
+    section.expect(check, &["requests", "minimum", "flows", "queue"], &[]);
+    let requests = check_rate(section, check, "requests", 1.0);
+    let minimum = check_rate(section, check, "minimum", 0.0);
+    let flows = section.number(check, "flows", FLOWS);
+    let queue = section.number(check, "queue", QUEUES);
+    let (requests, minimum) = (requests?, minimum?);
+    if minimum > requests {
+        let message = format!("minimum {minimum} exceeds requests {requests}");
+        let (path, place) = (section.path("minimum"), section.place_of("minimum"));
+        check.report(ResultCode::DocumentLimits, &path, place, message);
+    }
+    Some(Limits {
+        requests,
+        minimum,
+        flows: flows?,
+        queue: u32::try_from(queue?).ok()?,
+    })
+}
+
+fn check_target(section: &Section<'_>, check: &mut Checker) -> Option<Target> {
+    let keys = [
+        "name",
+        "number",
+        "address",
+        "zone",
+        "incarnation",
+        "state",
+        "slots",
+        "flows",
+    ];
+    section.expect(check, &keys, &[]);
+    check_unique(section, check, "target", "name");
+    let number = check_number(section, check, "target number");
+    let name = section.parse(check, "name");
+    let zone = section.parse(check, "zone");
+    let address = section.address(check, "address");
+    if let Some(address) = address {
+        let (path, place) = (section.path("address"), section.place_of("address"));
+        check.unique("target address", &path, place, &address.to_string());
+    }
+    let incarnation = section.number(check, "incarnation", 1..=u64::MAX);
+    let states = [
+        ("active", TargetState::Active),
+        ("leaving", TargetState::Leaving),
+    ];
+    let state = section.choice(check, "state", &states);
+    let slots = section.number(check, "slots", SLOTS);
+    let flows = section.number(check, "flows", TARGET_FLOWS);
+    Some(Target {
+        id: TargetId::new(number?),
+        name: name?,
+        address: address?,
+        zone: zone?,
+        incarnation: Incarnation::new(incarnation?),
+        state: state?,
+        slots: u32::try_from(slots?).ok()?,
+        flows: u32::try_from(flows?).ok()?,
+    })
+}
+
+/// Reports owners whose services are guaranteed more together than the owner's limit.
+fn check_minimums(
+    top: &Section<'_>,
+    owners: &FastMap<OwnerName, Owner>,
+    entries: &FastMap<ServiceId, Entry>,
+    check: &mut Checker,
+) {
+    for section in top.sections(&mut Checker::default(), "owners") {
+        let name: Option<OwnerName> = section.parse(&mut Checker::default(), "name");
+        let Some(owner) = name.and_then(|name| owners.get(&name)) else {
+            continue;
+        };
+        let of_owner = entries.values().filter(|e| e.owner == owner.name);
+        let sum: f64 = of_owner.map(|e| e.limits.minimum.per_second()).sum();
+        if sum > owner.requests.per_second() {
+            let message = format!(
+                "the minimums of its services are {sum}/s together, more than {}",
+                owner.requests
+            );
+            let path = section.path("limits.requests");
+            check.report(ResultCode::DocumentLimits, &path, section.place, message);
+        }
+    }
+}
+
+fn check_rate(section: &Section<'_>, check: &mut Checker, key: &str, lowest: f64) -> Option<Rate> {
+    let rate: Rate = section.parse(check, key)?;
+    if (lowest..=RATE_LIMIT).contains(&rate.per_second()) {
+        return Some(rate);
+    }
+    let message = format!("{rate} is not {lowest}/s to {RATE_LIMIT}/s");
+    let (path, place) = (section.path(key), section.place_of(key));
+    check.report(ResultCode::ValueOutOfRange, &path, place, message);
+    None
+}
+
+fn check_number(section: &Section<'_>, check: &mut Checker, kind: &'static str) -> Option<u32> {
+    let number = section.number(check, "number", NUMBERS)?;
+    let (path, place) = (section.path("number"), section.place_of("number"));
+    check.unique(kind, &path, place, &number.to_string());
+    u32::try_from(number).ok()
+}
+
+fn check_unique(section: &Section<'_>, check: &mut Checker, kind: &'static str, key: &str) {
+    if let Some(value) = section.text(&mut Checker::default(), key) {
+        check.unique(kind, &section.path(key), value.place, value.text);
+    }
+}
--- a/crates/proxy/src/catalogue/tests.rs
+++ b/crates/proxy/src/catalogue/tests.rs
@@ -1,7 +1,12 @@
-use tanager_core::{ResultCode, ServiceId, TargetId};
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Instant;
+
+use tanager_core::{Clock, ResultCode, Revision, ServiceId, TargetId};
 
 use crate::Error;
-use crate::catalogue::{Catalogue, CatalogueStore};
+use crate::catalogue::{Catalogue, CatalogueStore, Source, check, digest};
+use crate::telemetry::Log;
 
 fn document(revision: u64) -> String {
     format!(
@@ -56,3 +61,159 @@
     assert_eq!(store.current().revision.get(), 1);
     assert_eq!(store.refused().len(), 1);
 }
+
+/// Guards against a refused edit that names only its first fault.
+#[test]
+fn all_problems_are_reported_with_their_lines() {
+    let target = "  - { name: buzz-1, number: 1, address: 127.0.0.1:9001, zone: addis-a, \
+                  incarnation: 1, state: gone, slots: 0, flows: 2000, colour: red }\n";
+    let text = document(1)
+        .replace("minimum: 500/s", "minimum: 5000/s")
+        .replace("queue: 256", "queue: many")
+        .replace("owner: abay", "owner: kuiseb")
+        .replace("requests: 4000/s", "requests: 4000")
+        + target;
+
+    let found: Vec<_> = check(&text)
+        .into_iter()
+        .map(|p| (p.code, p.key, p.line.expect("line")))
+        .collect();
+
+    let expected = [
+        (ResultCode::ValueMalformed, "owners[0].limits.requests", 3),
+        (ResultCode::DocumentReference, "entries[0].owner", 7),
+        (ResultCode::ValueMalformed, "entries[0].limits.queue", 9),
+        (ResultCode::DocumentLimits, "entries[0].limits.minimum", 9),
+        (
+            ResultCode::DocumentMalformed,
+            "entries[0].targets[1].colour",
+            12,
+        ),
+        (
+            ResultCode::DocumentDuplicate,
+            "entries[0].targets[1].name",
+            12,
+        ),
+        (
+            ResultCode::DocumentDuplicate,
+            "entries[0].targets[1].number",
+            12,
+        ),
+        (
+            ResultCode::DocumentDuplicate,
+            "entries[0].targets[1].address",
+            12,
+        ),
+        (
+            ResultCode::ValueMalformed,
+            "entries[0].targets[1].state",
+            12,
+        ),
+        (
+            ResultCode::ValueOutOfRange,
+            "entries[0].targets[1].slots",
+            12,
+        ),
+    ];
+    let mut found = found;
+    found.sort_by(|a, b| (a.2, &a.1).cmp(&(b.2, &b.1)));
+    let mut expected = expected.map(|(code, key, line)| (code, key.to_owned(), line));
+    expected.sort_by(|a, b| (a.2, &a.1).cmp(&(b.2, &b.1)));
+    assert_eq!(found, expected);
+}
+
+/// Guards against guarantees that an owner's limit cannot keep.
+#[test]
+fn minimums_above_the_owners_limit_are_refused() {
+    let text = document(1).replace("requests: 4000/s", "requests: 400/s");
+
+    let found = check(&text);
+
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].code, ResultCode::DocumentLimits);
+}
+
+/// Guards against two editors' catalogues with one revision replacing each other.
+#[test]
+fn conflicting_revision_is_reported_and_the_first_stays() {
+    let store = CatalogueStore::default();
+    store.offer(&document(1)).expect("first");
+    let other = document(1).replace("4000/s", "3000/s");
+
+    let error = store.offer(&other).expect_err("conflict");
+
+    assert_eq!(code(&error), ResultCode::RevisionConflict);
+    assert!(store.has_conflict());
+    assert_eq!(store.current().text, document(1));
+}
+
+/// Guards against a log line on every read while the platform serves the same bad document.
+#[test]
+fn conflict_is_reported_once() {
+    let store = CatalogueStore::default();
+    store.offer(&document(1)).expect("first");
+    let other = digest(&document(1).replace("4000/s", "3000/s"));
+
+    let reported = (0..5).filter(|_| store.note_conflict(other)).count();
+
+    assert_eq!(reported, 1);
+}
+
+/// Guards against transferring a refused catalogue again and again, and against one with an
+/// implausible revision hiding every later one.
+#[tokio::test]
+async fn refused_revision_is_not_asked_for_again() {
+    let store = Arc::new(CatalogueStore::default());
+    let log = Log::discard(Clock::start());
+    store.offer(&document(1)).expect("first");
+
+    let bad = document(2).replace("owner: abay", "owner: kuiseb");
+    Arc::clone(&store).take(bad, Source::Platform, &log).await;
+    assert_eq!(store.watch_after(), Revision::new(2));
+
+    let absurd = document(999_999_999_999_999);
+    Arc::clone(&store)
+        .take(absurd, Source::Platform, &log)
+        .await;
+    assert_eq!(store.watch_after(), Revision::new(1));
+}
+
+/// Returns a catalogue of the design size: 620 services with 3,400 targets.
+fn design_size() -> String {
+    let limits = "{ requests: 100000/s, flows: 19000000 }";
+    let mut text =
+        format!("revision: 1\nowners:\n- {{ name: abay, limits: {limits} }}\nentries:\n");
+    let mut number = 0;
+    for service in 1..=620 {
+        let _ = write!(
+            text,
+            "- service: service-{service}\n  number: {service}\n  owner: abay\n  class: normal\n  \
+             limits: {{ requests: 2000/s, minimum: 50/s, flows: 28000, queue: 256 }}\n  targets:\n"
+        );
+        for _ in 0..if service <= 300 { 6 } else { 5 } {
+            number += 1;
+            let address = format!("10.0.{}.{}:9000", number / 250, number % 250);
+            let _ = writeln!(
+                text,
+                "  - {{ name: service-{service}-{number}, number: {number}, address: \"{address}\", \
+                 zone: addis-a, incarnation: {number}, state: active, slots: 2, flows: 2000 }}"
+            );
+        }
+    }
+    assert_eq!(number, 3_400);
+    text
+}
+
+/// Guards against a format that the platform cannot publish at the design size.
+#[test]
+fn catalogue_of_the_design_size_fits_and_is_read() {
+    let text = design_size();
+
+    let start = Instant::now();
+    let catalogue = Catalogue::read(&text).expect("valid");
+    println!("{} bytes read in {:?}", text.len(), start.elapsed());
+
+    assert!(text.len() < 1_000_000, "{} bytes", text.len());
+    assert_eq!(catalogue.entries.len(), 620);
+    assert_eq!(catalogue.services.len(), 3_400);
+}
--- a/crates/proxy/src/error.rs
+++ b/crates/proxy/src/error.rs
@@ -1,5 +1,8 @@
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use miette::{Diagnostic, SourceCode};
 use tanager_core::ResultCode;
 
 use crate::settings::Problem;
@@ -17,6 +20,8 @@
         document: &'static str,
         /// Every problem found.
         problems: Vec<Problem>,
+        /// The document's text, to show the lines at fault.
+        text: Arc<str>,
     },
     /// A document is not newer than the one in force.
     #[error("{code}: revision {offered} is offered, {current} is in force")]
@@ -86,7 +91,36 @@
     }
 }
 
+impl Diagnostic for Error {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(Self::code(self)))
+    }
+
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        match self {
+            Self::Document { text, .. } => Some(text),
+            _ => None,
+        }
+    }
+
+    fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
+        match self {
+            Self::Document { problems, .. } => {
+                Some(Box::new(problems.iter().map(|p| p as &dyn Diagnostic)))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Problems of one document that are written into a message; a log line must stay readable.
+const JOIN_LIMIT: usize = 20;
+
 fn join(problems: &[Problem]) -> String {
-    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    let shown = problems.iter().take(JOIN_LIMIT);
+    let mut lines: Vec<String> = shown.map(ToString::to_string).collect();
+    if problems.len() > JOIN_LIMIT {
+        lines.push(format!("and {} more", problems.len() - JOIN_LIMIT));
+    }
     lines.join("; ")
 }
--- a/crates/proxy/src/membership/list.rs
+++ b/crates/proxy/src/membership/list.rs
@@ -1,16 +1,18 @@
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::{InstanceName, RegionName, ResultCode, Revision, ZoneName};
+use tanager_core::{InstanceName, RegionName, Revision, ZoneName};
 
-use crate::settings::Problem;
-use crate::{Error, Result};
+use crate::Result;
+use crate::settings::{Checker, Section};
 
 const DOCUMENT: &str = "instance list";
+/// Larger revisions are taken for errors; one of them would hide all later lists.
+const REVISIONS: RangeInclusive<u64> = 1..=1_000_000_000_000;
 
 /// The platform's list of instances.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Debug, Clone)]
 pub struct InstanceList {
     /// Counts up with every change.
     pub revision: Revision,
@@ -20,7 +22,6 @@
 
 /// One instance of the list.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct ListedInstance {
     /// Unique name.
     pub name: InstanceName,
@@ -49,14 +50,47 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Document`] if it is not valid.
+    /// Returns [`crate::Error::Document`] with every problem found.
     pub fn read(text: &str) -> Result<Self> {
-        serde_saphyr::from_str(text).map_err(|e| {
-            let problem = Problem::new(ResultCode::DocumentMalformed, DOCUMENT, e);
-            Error::Document {
-                document: DOCUMENT,
-                problems: vec![problem],
-            }
-        })
+        Checker::open(text, DOCUMENT, check_list)
     }
 }
+
+fn check_list(top: &Section<'_>, check: &mut Checker) -> Option<InstanceList> {
+    top.expect(check, &["revision", "instances"], &[]);
+    let revision = top.number(check, "revision", REVISIONS);
+    let sections = top.sections(check, "instances");
+    let instances = sections.iter().filter_map(|s| check_instance(s, check));
+    let instances = instances.collect();
+    Some(InstanceList {
+        revision: Revision::new(revision?),
+        instances,
+    })
+}
+
+fn check_instance(section: &Section<'_>, check: &mut Checker) -> Option<ListedInstance> {
+    let keys = ["name", "zone", "region", "address", "state"];
+    section.expect(check, &keys, &[]);
+    let name: Option<InstanceName> = section.parse(check, "name");
+    let zone = section.parse(check, "zone");
+    let region = section.parse(check, "region");
+    let address = section.address(check, "address");
+    let states = [
+        ("live", InstanceState::Live),
+        ("leaving", InstanceState::Leaving),
+    ];
+    let state = section.choice(check, "state", &states);
+    let (name, address) = (name?, address?);
+    let place = section.place_of("name");
+    check.unique("instance", &section.path("name"), place, name.as_str());
+    let place = section.place_of("address");
+    let path = section.path("address");
+    check.unique("instance address", &path, place, &address.to_string());
+    Some(ListedInstance {
+        name,
+        zone: zone?,
+        region: region?,
+        address,
+        state: state?,
+    })
+}
--- a/crates/proxy/src/settings/checked.rs
+++ b/crates/proxy/src/settings/checked.rs
@@ -1,15 +1,20 @@
 use std::net::SocketAddr;
-use std::str::FromStr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use tanager_core::{InstanceName, RegionName, ResultCode, ZoneName, parse_duration};
 use tanager_wire::{KeyNumber, KeyRing, Secret};
 
-use crate::settings::raw::{RawKey, RawKeys, RawLog, RawPlatform};
-use crate::settings::{Problem, RawSettings};
-use crate::{Error, Result};
+use crate::Result;
+use crate::settings::{Checker, Problem, Section, problems_of};
 
 const DOCUMENT: &str = "settings";
+/// The longest wait of a watch unless the settings have another.
+const DEFAULT_WAIT: Duration = Duration::from_secs(20);
+/// Shorter waits exceed the platform's call limit; longer ones outlive connections.
+const WAIT_RANGE: RangeInclusive<Duration> = Duration::from_secs(1)..=Duration::from_mins(1);
+/// Lines that may wait for the writer; a million lines take some 200 MB.
+const QUEUE_RANGE: RangeInclusive<u64> = 16..=1_000_000;
 
 /// Checked settings of an instance.
 #[derive(Debug, Clone)]
@@ -56,6 +61,16 @@
     pub queue: usize,
 }
 
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            format: LogFormat::Text,
+            level: slog::Level::Info,
+            queue: 4_096,
+        }
+    }
+}
+
 /// The form of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -70,146 +85,174 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Document`] with every problem found.
+    /// Returns [`crate::Error::Document`] with every problem found.
     pub fn read(text: &str) -> Result<Self> {
-        let raw: RawSettings = serde_saphyr::from_str(text).map_err(|e| {
-            let problem = Problem::new(ResultCode::DocumentMalformed, DOCUMENT, e);
-            Error::Document {
-                document: DOCUMENT,
-                problems: vec![problem],
-            }
-        })?;
-        raw.try_into()
-    }
-}
-
-/// Collects problems while values are checked.
-#[derive(Default)]
-struct Checker {
-    problems: Vec<Problem>,
-}
-
-impl Checker {
-    fn parse<T: FromStr>(&mut self, key: &str, text: &str) -> Option<T>
-    where
-        T::Err: std::fmt::Display,
-    {
-        let result = text.parse::<T>();
-        result
-            .map_err(|e| self.report(ResultCode::ValueMalformed, key, &e.to_string()))
-            .ok()
-    }
-
-    fn report(&mut self, code: ResultCode, key: &str, message: &str) {
-        self.problems.push(Problem::new(code, key, message));
+        Checker::open(text, DOCUMENT, check_settings)
     }
 }
 
-impl TryFrom<RawSettings> for Settings {
-    type Error = Error;
-
-    fn try_from(raw: RawSettings) -> Result<Self> {
-        let mut check = Checker::default();
-        let settings = check_settings(&raw, &mut check);
-        match settings {
-            Some(settings) if check.problems.is_empty() => Ok(settings),
-            _ => Err(Error::Document {
-                document: DOCUMENT,
-                problems: check.problems,
-            }),
-        }
-    }
+/// Returns the problems of a settings file, each with its line.
+#[must_use]
+pub fn check(text: &str) -> Vec<Problem> {
+    problems_of(Settings::read(text))
 }
 
-fn check_settings(raw: &RawSettings, check: &mut Checker) -> Option<Settings> {
-    let name = check.parse("instance.name", &raw.instance.name);
-    let zone = check.parse("instance.zone", &raw.instance.zone);
-    let region = check.parse("instance.region", &raw.instance.region);
-    let callers = check.parse("listen.callers", &raw.listen.callers);
-    let peers: Option<SocketAddr> = check.parse("listen.peers", &raw.listen.peers);
-    let status = check.parse("listen.status", &raw.listen.status);
-    let platform = check_platform(&raw.platform, check);
-    let seeds: Vec<SocketAddr> = raw
-        .peers
-        .iter()
-        .filter_map(|text| check.parse("peers", text))
-        .collect();
-    let keys = check_keys(&raw.keys, check);
-    let log = check_log(&raw.log, check);
-    // Port 0 lets the system choose, so two listeners with it do not collide.
-    if peers == status && peers.is_some_and(|p| p.port() != 0) {
-        check.report(
-            ResultCode::DocumentDuplicate,
-            "listen.status",
-            "same as listen.peers",
-        );
-    }
+fn check_settings(top: &Section<'_>, check: &mut Checker) -> Option<Settings> {
+    let required = ["instance", "listen", "platform", "keys"];
+    top.expect(check, &required, &["peers", "log"]);
+    let identity = top
+        .section(check, "instance")
+        .and_then(|section| check_instance(&section, check));
+    let listen = top
+        .section(check, "listen")
+        .and_then(|section| check_listen(&section, check));
+    let platform = top
+        .section(check, "platform")
+        .and_then(|section| check_platform(&section, check));
+    let seeds = check_seeds(top, check);
+    let keys = top
+        .section(check, "keys")
+        .and_then(|section| check_keys(&section, check));
+    let log = match top.section(check, "log") {
+        Some(section) => check_log(&section, check),
+        None => Some(LogSettings::default()),
+    };
+    let (name, zone, region) = identity?;
+    let [callers, peers, status] = listen?;
     Some(Settings {
-        name: name?,
-        zone: zone?,
-        region: region?,
-        callers: callers?,
-        peers: peers?,
-        status: status?,
+        name,
+        zone,
+        region,
+        callers,
+        peers,
+        status,
         platform: platform?,
-        seeds: seeds.into_iter().filter(|s| Some(*s) != peers).collect(),
+        seeds: seeds.into_iter().filter(|s| *s != peers).collect(),
         keys: keys?,
         log: log?,
     })
 }
 
-fn check_platform(raw: &RawPlatform, check: &mut Checker) -> Option<PlatformSettings> {
-    let address = check.parse("platform.address", &raw.address);
-    let wait = parse_duration(&raw.wait)
-        .map_err(|e| check.report(e.code(), "platform.wait", &e.to_string()))
-        .ok()?;
-    if !(Duration::from_secs(1)..=Duration::from_mins(1)).contains(&wait) {
-        check.report(ResultCode::ValueOutOfRange, "platform.wait", "1s to 60s");
+fn check_instance(
+    section: &Section<'_>,
+    check: &mut Checker,
+) -> Option<(InstanceName, ZoneName, RegionName)> {
+    section.expect(check, &["name", "zone", "region"], &[]);
+    let name = section.parse(check, "name");
+    let zone = section.parse(check, "zone");
+    let region = section.parse(check, "region");
+    Some((name?, zone?, region?))
+}
+
+fn check_listen(section: &Section<'_>, check: &mut Checker) -> Option<[SocketAddr; 3]> {
+    section.expect(check, &["callers", "peers", "status"], &[]);
+    let callers: Option<SocketAddr> = section.parse(check, "callers");
+    let peers: Option<SocketAddr> = section.parse(check, "peers");
+    let status: Option<SocketAddr> = section.parse(check, "status");
+    // Port 0 lets the system choose, so two listeners with it do not collide. `callers` is UDP.
+    for (key, address) in [("peers", peers), ("status", status)] {
+        if let Some(address) = address.filter(|a| a.port() != 0) {
+            let place = section.place_of(key);
+            check.unique(
+                "TCP address",
+                &section.path(key),
+                place,
+                &address.to_string(),
+            );
+        }
     }
+    Some([callers?, peers?, status?])
+}
+
+fn check_platform(section: &Section<'_>, check: &mut Checker) -> Option<PlatformSettings> {
+    section.expect(check, &["address"], &["wait"]);
+    let address = section.address(check, "address");
+    let wait = match section.text(check, "wait") {
+        None => Some(DEFAULT_WAIT),
+        Some(value) => {
+            let path = section.path("wait");
+            match parse_duration(value.text) {
+                Ok(wait) if WAIT_RANGE.contains(&wait) => Some(wait),
+                Ok(_) => {
+                    let message = format!("{} is not 1s to 60s", value.text);
+                    check.report(ResultCode::ValueOutOfRange, &path, value.place, message);
+                    None
+                }
+                Err(error) => {
+                    check.report(error.code(), &path, value.place, error);
+                    None
+                }
+            }
+        }
+    };
     Some(PlatformSettings {
         address: address?,
-        wait,
+        wait: wait?,
     })
 }
 
-fn check_keys(raw: &RawKeys, check: &mut Checker) -> Option<KeyRing> {
-    let mut key = |name: &str, raw: &RawKey| {
-        let secret: Option<Secret> = check.parse(name, &raw.secret);
-        secret.map(|secret| (KeyNumber::new(raw.number), secret))
-    };
-    let current = key("keys.current", &raw.current);
-    let previous = raw.previous.as_ref().map(|raw| key("keys.previous", raw));
-    Some(KeyRing::new(current?, previous.flatten()))
+fn check_seeds(top: &Section<'_>, check: &mut Checker) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    for (i, tree) in top.list(check, "peers").iter().enumerate() {
+        let path = format!("peers[{i}]");
+        if let Some(address) = tree.address(check, &path) {
+            check.unique("peer", &path, tree.place, &address.to_string());
+            seeds.push(address);
+        }
+    }
+    seeds
 }
 
-fn check_log(raw: &RawLog, check: &mut Checker) -> Option<LogSettings> {
-    let format = match raw.format.as_str() {
-        "text" => Some(LogFormat::Text),
-        "json" => Some(LogFormat::Json),
-        _ => None,
-    };
-    if format.is_none() {
-        check.report(
-            ResultCode::ValueMalformed,
-            "log.format",
-            "expected text or json",
-        );
+fn check_keys(section: &Section<'_>, check: &mut Checker) -> Option<KeyRing> {
+    section.expect(check, &["current"], &["previous"]);
+    let current = check_key(section, check, "current");
+    let previous = check_key(section, check, "previous");
+    Some(KeyRing::new(current?, previous))
+}
+
+fn check_key(parent: &Section<'_>, check: &mut Checker, key: &str) -> Option<(KeyNumber, Secret)> {
+    let section = parent.section(check, key)?;
+    section.expect(check, &["number", "secret"], &[]);
+    let number = section.number(check, "number", 0..=u64::from(u8::MAX));
+    let secret: Option<Secret> = section.parse(check, "secret");
+    let number = u8::try_from(number?).ok()?;
+    let place = section.place_of("number");
+    // Tokens name their secret by number.
+    check.unique(
+        "key number",
+        &section.path("number"),
+        place,
+        &number.to_string(),
+    );
+    Some((KeyNumber::new(number), secret?))
+}
+
+fn check_log(section: &Section<'_>, check: &mut Checker) -> Option<LogSettings> {
+    section.expect(check, &[], &["format", "level", "queue"]);
+    let LogSettings {
+        mut format,
+        mut level,
+        mut queue,
+    } = LogSettings::default();
+    let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+    let levels = [
+        ("error", slog::Level::Error),
+        ("warning", slog::Level::Warning),
+        ("info", slog::Level::Info),
+        ("debug", slog::Level::Debug),
+    ];
+    if let Some(chosen) = section.choice(check, "format", &formats) {
+        format = chosen;
     }
-    let level = raw.level.parse().ok();
-    if level.is_none() {
-        let message = "expected error, warning, info or debug";
-        check.report(ResultCode::ValueMalformed, "log.level", message);
+    if let Some(chosen) = section.choice(check, "level", &levels) {
+        level = chosen;
     }
-    if raw.queue < 16 {
-        check.report(
-            ResultCode::ValueOutOfRange,
-            "log.queue",
-            "at least 16 lines",
-        );
+    if let Some(lines) = section.number(check, "queue", QUEUE_RANGE) {
+        queue = usize::try_from(lines).ok()?;
     }
     Some(LogSettings {
-        format: format?,
-        level: level?,
-        queue: raw.queue as usize,
+        format,
+        level,
+        queue,
     })
 }
--- a/crates/proxy/src/settings/mod.rs
+++ b/crates/proxy/src/settings/mod.rs
@@ -1,12 +1,16 @@
-//! Settings of an instance: read from YAML, checked as a whole, then immutable.
+//! Settings of an instance: read from YAML, checked as a whole, then immutable. The reading of
+//! YAML with all problems and their lines is shared with the published documents.
 
 mod checked;
 mod problem;
-mod raw;
+mod section;
+mod tree;
 
-pub use checked::{LogFormat, LogSettings, PlatformSettings, Settings};
+pub use checked::{LogFormat, LogSettings, PlatformSettings, Settings, check};
 pub use problem::Problem;
-pub use raw::RawSettings;
+pub(crate) use problem::{document_error, problems_of};
+pub(crate) use section::{Checker, Section};
+pub use tree::Place;
 
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/settings/problem.rs
+++ b/crates/proxy/src/settings/problem.rs
@@ -1,8 +1,13 @@
 use std::fmt;
 
+use miette::{Diagnostic, LabeledSpan};
 use tanager_core::ResultCode;
 
-/// One fault in a document.
+use crate::Error;
+use crate::settings::tree::Place;
+
+/// One fault in a document. As a diagnostic it marks the place in the source that it is shown
+/// with, such as that of [`Error::Document`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Problem {
     /// The numbered code.
@@ -13,6 +18,7 @@
     pub line: Option<u64>,
     /// What is wrong and what is expected.
     pub message: String,
+    place: Place,
 }
 
 impl Problem {
@@ -24,8 +30,17 @@
             key: key.to_owned(),
             line: None,
             message: message.to_string(),
+            place: Place::default(),
         }
     }
+
+    /// Sets the place in the document. Line 0 stands for an unknown place.
+    #[must_use]
+    pub fn at(mut self, place: Place) -> Self {
+        self.line = (place.line > 0).then_some(u64::from(place.line));
+        self.place = place;
+        self
+    }
 }
 
 impl fmt::Display for Problem {
@@ -34,3 +49,39 @@
         self.line.map_or(Ok(()), |line| write!(f, " (line {line})"))
     }
 }
+
+impl std::error::Error for Problem {}
+
+impl Diagnostic for Problem {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.code))
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(self.code.description().trim()))
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        self.line?;
+        let (start, length) = (self.place.start as usize, self.place.length as usize);
+        let label = LabeledSpan::new(Some(self.key.clone()), start, length);
+        Some(Box::new(std::iter::once(label)))
+    }
+}
+
+/// Creates an [`Error::Document`] that shows the source lines.
+pub(crate) fn document_error(document: &'static str, text: &str, problems: Vec<Problem>) -> Error {
+    Error::Document {
+        document,
+        problems,
+        text: text.into(),
+    }
+}
+
+/// Returns the problems of a document that was read.
+pub(crate) fn problems_of<T>(read: crate::Result<T>) -> Vec<Problem> {
+    match read {
+        Err(Error::Document { problems, .. }) => problems,
+        _ => Vec::new(),
+    }
+}
--- a/crates/proxy/src/settings/tests.rs
+++ b/crates/proxy/src/settings/tests.rs
@@ -1,5 +1,8 @@
-use crate::Error;
-use crate::settings::Settings;
+use miette::{GraphicalReportHandler, GraphicalTheme};
+use proptest::prelude::*;
+use tanager_core::ResultCode;
+
+use crate::settings::{Settings, check};
 
 fn document() -> String {
     let secret = "0f".repeat(32);
@@ -21,17 +24,86 @@
     assert_eq!(settings.seeds.len(), 1);
 }
 
-/// Guards against operators having to fix one problem per start.
+/// Returns code, key and line of each problem.
+fn problems(text: &str) -> Vec<(ResultCode, String, Option<u64>)> {
+    let found = check(text).into_iter();
+    found.map(|p| (p.code, p.key, p.line)).collect()
+}
+
+/// Guards against operators having to fix one problem per start, and against searching for the
+/// line at fault: faults of every kind are reported together.
 #[test]
-fn all_problems_are_reported() {
+fn all_problems_are_reported_with_their_lines() {
     let text = document()
-        .replace("20s", "20")
-        .replace("127.0.0.1:7001", "here");
+        .replace("wait: 20s", "wait: 20")
+        .replace("callers: 127.0.0.1:7001", "callers: here, colour: red")
+        .replace("status: 127.0.0.1:7201", "status: 127.0.0.1:7101")
+        .replace(
+            "[127.0.0.1:7102]",
+            "[127.0.0.1:7102, 127.0.0.1:7102, 127.0.0.1:0]",
+        )
+        .replace("zone: addis-a, ", "")
+        + "log: { queue: 3, level: loud }\n";
+
+    let expected = [
+        (ResultCode::DocumentMalformed, "instance.zone", 1),
+        (ResultCode::DocumentMalformed, "listen.colour", 2),
+        (ResultCode::ValueMalformed, "listen.callers", 2),
+        (ResultCode::DocumentDuplicate, "listen.status", 2),
+        (ResultCode::ValueMalformed, "platform.wait", 3),
+        (ResultCode::DocumentDuplicate, "peers[1]", 4),
+        (ResultCode::ValueOutOfRange, "peers[2]", 4),
+        (ResultCode::ValueMalformed, "log.level", 6),
+        (ResultCode::ValueOutOfRange, "log.queue", 6),
+    ];
+    let expected = expected.map(|(code, key, line)| (code, key.to_owned(), Some(line)));
+    assert_eq!(problems(&text), expected);
+}
+
+/// Guards against a key that is given twice where the second one wins unseen.
+#[test]
+fn repeated_keys_are_refused() {
+    let text = document() + "platform: { address: 127.0.0.1:6001 }\n";
+
+    let expected = (
+        ResultCode::DocumentDuplicate,
+        "platform".to_owned(),
+        Some(6),
+    );
+    assert_eq!(problems(&text), [expected]);
+}
 
-    let error = Settings::read(&text).expect_err("two problems");
+/// Guards against a file that is no YAML being reported without its line.
+#[test]
+fn broken_yaml_is_reported_with_its_line() {
+    let text = document() + "log: { format: text\n";
+
+    let found = problems(&text);
+
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].0, ResultCode::DocumentMalformed);
+    assert!(found[0].2.is_some_and(|line| line >= 6), "{found:?}");
+}
+
+/// Guards against diagnostics without code, key or source line.
+#[test]
+fn diagnostics_show_the_source_line() {
+    let text = document().replace("wait: 20s", "wait: 90s");
+    let error = Settings::read(&text).expect_err("out of range");
+    let handler = GraphicalReportHandler::new_themed(GraphicalTheme::none());
+
+    let mut shown = String::new();
+    handler.render_report(&mut shown, &error).expect("rendered");
+
+    for part in ["TP102", "platform.wait", "wait: 90s", "1s to 60s"] {
+        assert!(shown.contains(part), "{part} is missing in\n{shown}");
+    }
+}
 
-    let Error::Document { problems, .. } = error else {
-        panic!("unexpected {error}")
-    };
-    assert_eq!(problems.len(), 2, "{problems:?}");
+proptest! {
+    /// Guards against a panic on any input.
+    #[test]
+    fn any_text_is_read_or_refused(text in "[a-z0-9:,{}\\[\\]\"&* \n-]{0,200}") {
+        prop_assert!(!check(&text).is_empty());
+    }
 }
