Complete the status pages and prove catalogue and usage over a fleet

Cause: /usage knew only the own instance, /metrics did not exist, /explain ignored wrong questions, and nothing proved changes and usage across instances. The platform stand-in compared and replaced an edit under two locks, so two racing edits could both be accepted. Ruled out: a second list of counters for metrics (the macro that defines them now also lists them); showing the reserved usage rows by default (thousands at the design size; /usage?rows=all). Change: pages as in docs/design.md 4.10 with 400, 404 and 405 replies; opentelemetry instruments with the Prometheus exporter; control rate over 10 s; atomic edits in the stand-in; fleet tests in crates/standins/tests/catalogue.rs.

--- a/crates/proxy/src/membership/gossip.rs
+++ b/crates/proxy/src/membership/gossip.rs
@@ -15,7 +15,7 @@
 use crate::catalogue::{CatalogueStore, Source};
 use crate::membership::{ListedInstance, Membership};
 use crate::peer::{CatalogueText, Heartbeat, Peers};
-use crate::telemetry::{Counters, Log, Part};
+use crate::telemetry::{ControlRate, Counters, Log, Part};
 use crate::usage::Usage;
 
 /// Time between two rounds of exchanges.
@@ -49,6 +49,8 @@
     pub peers: Arc<Peers>,
     /// Counters of the instance.
     pub counters: Arc<Counters>,
+    /// Rate of control traffic.
+    pub rate: ControlRate,
     /// The log.
     pub log: Log,
     /// Whether a pull is in progress; a catalogue may have 1 MB.
@@ -91,6 +93,7 @@
             // Jitter keeps instances that were started together from calling in step.
             next = Instant::now().max(next) + ROUND.mul_f64(rand::rng().random_range(0.9..1.1));
             self.membership.tick();
+            self.rate.sample(&self.counters);
             let catalogue = self.catalogue.current();
             self.usage.book(self.membership.identity(), &catalogue);
             drop(catalogue);
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -16,7 +16,7 @@
 use crate::routing::Router;
 use crate::settings::Settings;
 use crate::target::TargetPool;
-use crate::telemetry::{Counters, Log, Part};
+use crate::telemetry::{ControlRate, Counters, Log, Part};
 use crate::usage::Usage;
 use crate::{Error, Identity, Result, peer, status};
 
@@ -188,6 +188,7 @@
             usage: Arc::clone(&usage),
             peers: Arc::clone(&peers),
             counters: Arc::clone(&counters),
+            rate: ControlRate::default(),
             log: log.clone(),
             pulling: AtomicBool::new(false),
             surveyed: AtomicBool::new(false),
--- /dev/null
+++ b/crates/proxy/src/status/metrics.rs
@@ -0,0 +1,128 @@
+use std::sync::Arc;
+
+use opentelemetry::metrics::MeterProvider as _;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::Node;
+use crate::telemetry::Counters;
+
+/// Reads the present value of a gauge.
+type Read = Box<dyn Fn() -> f64 + Send + Sync>;
+/// Name, description and value of a gauge.
+pub(super) type Gauge = (&'static str, &'static str, Read);
+
+/// The metrics of one instance. Counters and gauges are read when they are asked for.
+pub(super) struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Creates instruments for all counters and for `gauges`.
+    pub(super) fn new(
+        counters: &Arc<Counters>,
+        gauges: impl IntoIterator<Item = Gauge>,
+    ) -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("tanager")
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("tanagerproxy");
+        for (name, description, counter) in Counters::ALL {
+            let counters = Arc::clone(counters);
+            let instrument = meter.u64_observable_counter(*name);
+            let instrument = instrument.with_description(description.trim());
+            instrument
+                .with_callback(move |observer| observer.observe(counter(&counters).get(), &[]))
+                .build();
+        }
+        for (name, description, read) in gauges {
+            let instrument = meter.f64_observable_gauge(name);
+            let instrument = instrument.with_description(description);
+            instrument
+                .with_callback(move |observer| observer.observe(read(), &[]))
+                .build();
+        }
+        Ok(Self {
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Creates the metrics of a node.
+    pub(super) fn of(node: &Arc<Node>) -> Result<Self, OTelSdkError> {
+        Self::new(&node.counters, gauges(node))
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    pub(super) fn text(&self) -> String {
+        let encoder = TextEncoder::new();
+        encoder
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+}
+
+fn gauges(node: &Arc<Node>) -> Vec<Gauge> {
+    // A weak reference, since the node must not keep itself alive through its metrics.
+    let weak = Arc::downgrade(node);
+    let gauge = |name, description, read: fn(&Node) -> f64| {
+        let weak = weak.clone();
+        let value: Read = Box::new(move || weak.upgrade().map_or(0.0, |node| read(&node)));
+        (name, description, value)
+    };
+    vec![
+        gauge("revision", "Revision of the catalogue in force.", |n| {
+            large(n.revision().get())
+        }),
+        gauge("list_revision", "Revision of the instance list.", |n| {
+            large(n.membership.list().revision.get())
+        }),
+        gauge("ready", "1 if the instance takes new work.", |n| {
+            f64::from(u8::from(n.is_ready()))
+        }),
+        gauge("targets_ready", "Targets with a usable connection.", |n| {
+            size(n.connected_targets())
+        }),
+        gauge("requests_pending", "Requests in progress.", |n| {
+            size(n.execution.pending())
+        }),
+        gauge("instances", "Instances that share the limits.", |n| {
+            size(n.membership.instance_count())
+        }),
+        gauge("instances_heard", "Peers heard from within 10 s.", |n| {
+            size(n.membership.heard_count())
+        }),
+        gauge("control_sent_rate", "Control bytes sent a second.", |n| {
+            n.gossip.rate.per_second().0
+        }),
+        gauge(
+            "control_received_rate",
+            "Control bytes received a second.",
+            |n| n.gossip.rate.per_second().1,
+        ),
+        gauge("usage_rows", "Usage rows known.", |n| {
+            f64::from(n.usage.row_count())
+        }),
+        gauge("invariant_violations", "Violated invariants.", |_| {
+            large(tanager_core::violations())
+        }),
+    ]
+}
+
+fn size(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+/// Gauges are floating-point numbers, which are exact up to 2^53.
+#[expect(clippy::cast_precision_loss, reason = "larger values are not expected")]
+const fn large(number: u64) -> f64 {
+    number as f64
+}
--- a/crates/proxy/src/status/page.rs
+++ b/crates/proxy/src/status/page.rs
@@ -2,7 +2,7 @@
 use serde_json::Value;
 
 use crate::Node;
-use crate::usage::ServiceUsage;
+use crate::usage::{FleetUsage, ServiceUsage, UsageRow};
 
 /// What `/status` shows.
 #[derive(Debug, Serialize)]
@@ -17,10 +17,24 @@
     pub leaving: bool,
     /// Revision of the catalogue in force; 0 before any was read.
     pub revision: u64,
+    /// Whether the instance takes new work.
+    pub ready: bool,
+    /// Digest of the catalogue in force, in hexadecimal.
+    pub digest: String,
+    /// Whether another catalogue with the same revision was seen.
+    pub conflict: bool,
     /// Problems of the last refused catalogue.
     pub catalogue_problems: Vec<String>,
     /// Revision of the instance list.
     pub list_revision: u64,
+    /// Other instances heard from within 10 s.
+    pub instances_heard: usize,
+    /// Instances that the limits are divided by.
+    pub instance_count: usize,
+    /// Control traffic sent, in bytes a second over the last 10 s.
+    pub control_sent: f64,
+    /// Control traffic received, in bytes a second over the last 10 s.
+    pub control_received: f64,
     /// Requests in progress.
     pub requests_pending: usize,
     /// Violated invariants since start; always 0 in a correct program.
@@ -58,23 +72,16 @@
     pub fn collect(node: &Node) -> Self {
         let identity = node.membership.identity();
         let catalogue = node.catalogue.current();
-        let service_name = |id| {
-            catalogue
-                .entry(id)
-                .map_or_else(|| id.to_string(), |e| e.name.to_string())
-        };
-        let usage = node
-            .usage
-            .services()
-            .into_iter()
-            .map(|(id, u)| (service_name(id), u))
-            .collect();
+        let (control_sent, control_received) = node.gossip.rate.per_second();
         Self {
             instance: identity.name.to_string(),
             zone: identity.zone.to_string(),
             incarnation: identity.incarnation.get(),
             leaving: node.membership.is_leaving(),
             revision: catalogue.revision.get(),
+            ready: node.is_ready(),
+            digest: format!("{:032x}", u128::from_be_bytes(catalogue.digest)),
+            conflict: node.catalogue.has_conflict(),
             catalogue_problems: node
                 .catalogue
                 .refused()
@@ -82,15 +89,61 @@
                 .map(ToString::to_string)
                 .collect(),
             list_revision: node.membership.list().revision.get(),
+            instances_heard: node.membership.heard_count(),
+            instance_count: node.membership.instance_count(),
+            control_sent,
+            control_received,
             requests_pending: node.execution.pending(),
             invariant_violations: tanager_core::violations(),
             counters: serde_json::to_value(&*node.counters).unwrap_or_default(),
             targets: targets(node),
-            usage,
+            usage: service_usage(node),
         }
     }
 }
 
+/// What `/usage` shows.
+#[derive(Debug, Serialize)]
+pub struct UsagePage {
+    /// Name of the instance that answers.
+    pub instance: String,
+    /// Usage of the fleet by owner, and the spread of ages of the rows.
+    pub fleet: FleetUsage,
+    /// Usage counted by this instance, by service name.
+    pub services: Vec<(String, ServiceUsage)>,
+    /// Every row, if asked for.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rows: Option<Vec<UsageRow>>,
+}
+
+impl UsagePage {
+    /// Collects the page of a node. `rows` asks for every row.
+    #[must_use]
+    pub fn collect(node: &Node, rows: bool) -> Self {
+        let membership = &node.membership;
+        let fleet = node.usage.fleet(|name, incarnation| {
+            let current = membership.incarnation(name);
+            membership.is_member(name) && current.is_none_or(|c| c == incarnation)
+        });
+        Self {
+            instance: membership.identity().name.to_string(),
+            fleet,
+            services: service_usage(node),
+            rows: rows.then(|| node.usage.rows_by_key()),
+        }
+    }
+}
+
+fn service_usage(node: &Node) -> Vec<(String, ServiceUsage)> {
+    let catalogue = node.catalogue.current();
+    let name = |id| {
+        let entry = catalogue.entry(id);
+        entry.map_or_else(|| id.to_string(), |e| e.name.to_string())
+    };
+    let services = node.usage.services().into_iter();
+    services.map(|(id, usage)| (name(id), usage)).collect()
+}
+
 fn targets(node: &Node) -> Vec<TargetStatus> {
     let mut links = node.targets.links();
     links.sort_by_key(|l| l.target.id);
--- a/crates/proxy/src/status/server.rs
+++ b/crates/proxy/src/status/server.rs
@@ -4,30 +4,45 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, header};
+use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::Node;
-use crate::status::StatusPage;
+use crate::status::explain::Question;
+use crate::status::metrics::Metrics;
+use crate::status::{StatusPage, UsagePage};
+use crate::telemetry::Part;
 
-/// Decisions returned by `/explain` at most.
-const EXPLAIN_LIMIT: usize = 100;
+/// What the pages are made from.
+struct Pages {
+    node: Arc<Node>,
+    /// `None` if the exporter could not be created.
+    metrics: Option<Metrics>,
+}
 
 /// Serves the status pages, one task for each connection.
 pub async fn serve(listener: TcpListener, node: Arc<Node>) {
+    let metrics = Metrics::of(&node);
+    if let Err(error) = &metrics {
+        node.log.warn(Part::Status, error);
+    }
+    let pages = Arc::new(Pages {
+        node,
+        metrics: metrics.ok(),
+    });
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&node)))),
+            Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&pages)))),
             Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
         }
     }
 }
 
-async fn serve_connection(stream: TcpStream, node: Arc<Node>) {
+async fn serve_connection(stream: TcpStream, pages: Arc<Pages>) {
     let service = service_fn(move |request| {
-        let response = respond(&node, &request);
+        let response = pages.respond(&request);
         async move { Ok::<_, Infallible>(response) }
     });
     let connection = hyper::server::conn::http1::Builder::new();
@@ -37,25 +52,52 @@
         .await;
 }
 
-fn respond(node: &Node, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    match request.uri().path() {
-        "/status" => json(&StatusPage::collect(node)),
-        "/usage" => json(&StatusPage::collect(node).usage),
-        "/explain" => json(&explain(node, request.uri().query().unwrap_or_default())),
-        "/ready" if node.is_ready() => text(StatusCode::OK, "ready\n"),
-        "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        _ => text(StatusCode::NOT_FOUND, "no such page\n"),
+impl Pages {
+    fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.method() != Method::GET {
+            let mut response = text(StatusCode::METHOD_NOT_ALLOWED, "pages are read only\n");
+            let allowed = header::HeaderValue::from_static("GET");
+            response.headers_mut().insert(header::ALLOW, allowed);
+            return response;
+        }
+        let query = request.uri().query().unwrap_or_default();
+        match (request.uri().path(), query) {
+            ("/explain", query) => self.explain(query),
+            ("/status", "") => json(&StatusPage::collect(&self.node)),
+            ("/usage", "") => json(&UsagePage::collect(&self.node, false)),
+            ("/usage", "rows=all") => json(&UsagePage::collect(&self.node, true)),
+            ("/metrics", "") => self.metrics(),
+            ("/ready", "") if self.node.is_ready() => text(StatusCode::OK, "ready\n"),
+            ("/ready", "") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            ("/status" | "/usage" | "/metrics" | "/ready", _) => {
+                text(StatusCode::BAD_REQUEST, "unknown query\n")
+            }
+            _ => text(StatusCode::NOT_FOUND, "no such page\n"),
+        }
+    }
+
+    fn explain(&self, query: &str) -> Response<Full<Bytes>> {
+        let question = match Question::parse(query) {
+            Ok(question) => question,
+            Err(message) => return text(StatusCode::BAD_REQUEST, message),
+        };
+        let decisions = self.node.log.decisions();
+        let found = decisions.find(question.limit(), |d| question.matches(d));
+        if found.is_empty() && !matches!(question, Question::Last(_)) {
+            return text(StatusCode::NOT_FOUND, "no decision is kept for it here\n");
+        }
+        json(&found)
     }
-}
 
-fn explain(node: &Node, query: &str) -> Vec<crate::telemetry::Decision> {
-    let id = query
-        .split_once('=')
-        .filter(|(key, _)| *key != "last")
-        .map(|(_, id)| id);
-    node.log.decisions().find(EXPLAIN_LIMIT, |d| {
-        id.is_none_or(|id| d.flow.as_deref() == Some(id) || d.request.as_deref() == Some(id))
-    })
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        let Some(metrics) = &self.metrics else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "no metrics\n");
+        };
+        let mut response = text(StatusCode::OK, metrics.text());
+        let kind = header::HeaderValue::from_static("text/plain; version=0.0.4");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        response
+    }
 }
 
 fn json(value: &impl Serialize) -> Response<Full<Bytes>> {
@@ -66,8 +108,8 @@
     response
 }
 
-fn text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+fn text(status: StatusCode, body: impl Into<String>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.into())));
     *response.status_mut() = status;
     response
 }
--- a/crates/proxy/src/telemetry/metrics.rs
+++ b/crates/proxy/src/telemetry/metrics.rs
@@ -29,8 +29,30 @@
     }
 }
 
+macro_rules! counters {
+    ($(#[doc = $type_doc:literal])+ pub struct Counters {
+        $($(#[doc = $doc:literal])+ pub $name:ident: Counter,)+
+    }) => {
+        $(#[doc = $type_doc])+
+        #[derive(Debug, Default, Serialize)]
+        pub struct Counters {
+            $($(#[doc = $doc])+ pub $name: Counter,)+
+        }
+
+        impl Counters {
+            /// Name and description of each counter, with access to it.
+            pub const ALL: &'static [CounterField] = &[
+                $((stringify!($name), concat!($($doc,)+), |c| &c.$name),)+
+            ];
+        }
+    };
+}
+
+/// Name, description and access to one counter.
+pub type CounterField = (&'static str, &'static str, fn(&Counters) -> &Counter);
+
+counters! {
 /// Counters of the whole instance, shown by status and metrics.
-#[derive(Debug, Default, Serialize)]
 pub struct Counters {
     /// Datagrams received from callers.
     pub datagrams_received: Counter,
@@ -73,3 +95,4 @@
     /// Documents of the platform that were stale or invalid.
     pub platform_unusable: Counter,
 }
+}
--- a/crates/proxy/src/telemetry/mod.rs
+++ b/crates/proxy/src/telemetry/mod.rs
@@ -1,9 +1,11 @@
 //! Logs, the record of recent decisions, and metrics.
 
+mod control;
 mod decision;
 mod log;
 mod metrics;
 
+pub use control::ControlRate;
 pub use decision::{Decision, DecisionKind, DecisionRing};
 pub use log::{Log, Part};
-pub use metrics::{Counter, Counters};
+pub use metrics::{Counter, CounterField, Counters};
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -169,23 +169,20 @@
     /// is refused.
     fn edit(&self, name: &str, call: &Call) -> Reply {
         let expected: Option<u64> = call.parameter("expected");
-        let current = self.lock().document(name).revision;
+        // One lock for compare and replace: racing edits must not both succeed.
+        let mut state = self.lock();
+        let current = state.document(name).revision;
         if expected.is_some_and(|e| e != current) {
             return (409, format!("revision {current} is published\n"));
         }
-        self.publish(name, &call.body);
+        state.publish(name, &call.body);
+        drop(state);
+        self.changed.send_modify(|n| *n += 1);
         (200, String::new())
     }
 
     fn publish(&self, name: &str, text: &str) {
-        let mut state = self.lock();
-        let document = match name {
-            "catalogue" => &mut state.catalogue,
-            _ => &mut state.instances,
-        };
-        document.revision = revision_of(text).unwrap_or(document.revision + 1);
-        text.clone_into(&mut document.text);
-        drop(state);
+        self.lock().publish(name, text);
         self.changed.send_modify(|n| *n += 1);
     }
 
@@ -210,6 +207,15 @@
 }
 
 impl State {
+    fn publish(&mut self, name: &str, text: &str) {
+        let document = match name {
+            "catalogue" => &mut self.catalogue,
+            _ => &mut self.instances,
+        };
+        document.revision = revision_of(text).unwrap_or(document.revision + 1);
+        text.clone_into(&mut document.text);
+    }
+
     fn document(&self, name: &str) -> &Document {
         match name {
             "catalogue" => &self.catalogue,
--- /dev/null
+++ b/crates/standins/tests/catalogue.rs
@@ -0,0 +1,323 @@
+//! Catalogue changes and usage across a fleet, with the platform down, stale or cut off.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde_json::Value;
+use tanager_core::RequestId;
+use tanager_standins::caller::{Caller, Outcome};
+use tanager_standins::fleet::{Fleet, Plan, service};
+use tanager_standins::platform::Fault;
+use tanager_standins::settings::catalogue;
+use tanagerproxy::Node;
+use tanagerproxy::peer::TcpNetwork;
+use tokio::time::{Instant, sleep};
+
+/// Goal for an accepted change to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(6);
+/// Goal for control traffic of an instance, in bytes a second.
+const CONTROL_LIMIT: f64 = 8_000.0;
+/// Usage of the last 2 s may be lost with a killed instance.
+const LOSS: Duration = Duration::from_secs(2);
+/// Longest wait for totals to agree; it bounds the test, not a goal.
+const AGREEMENT: Duration = Duration::from_secs(20);
+
+async fn fleet(nodes: usize) -> Fleet {
+    let plan = Plan {
+        nodes,
+        services: vec![
+            (service("buzz", 1, "abay"), 2),
+            (service("print", 2, "kuiseb"), 2),
+        ],
+        seed: 3,
+    };
+    Fleet::start(plan).await.expect("fleet")
+}
+
+/// Waits until `done` holds and returns whether it did within `limit`.
+async fn within(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while !done() {
+        if Instant::now() > end {
+            return false;
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    true
+}
+
+async fn all_have(fleet: &Fleet, revision: u64) -> bool {
+    within(IN_FORCE, || {
+        fleet.running().all(|n| n.revision().get() >= revision)
+    })
+    .await
+}
+
+fn revisions(fleet: &Fleet) -> Vec<u64> {
+    fleet.running().map(|n| n.revision().get()).collect()
+}
+
+async fn page(node: &Node, path: &str) -> Value {
+    let url = format!("http://{}{path}", node.status_address());
+    let reply = reqwest::get(url).await.expect("reply");
+    reply.json().await.expect("json")
+}
+
+fn cut(fleet: &Fleet, zones: &[&str]) {
+    let zones = zones.iter().map(|z| (*z).to_owned());
+    fleet.platform.cut_zones(zones);
+}
+
+/// Guards against a change that does not reach every instance in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_is_in_force_everywhere_in_time() {
+    let mut fleet = fleet(8).await;
+
+    fleet.publish_services();
+
+    assert!(all_have(&fleet, 2).await, "{:?}", revisions(&fleet));
+}
+
+/// Guards against a change that is lost with the service: one instance has read it, then the
+/// service is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_spreads_when_the_service_fails_after_one_read() {
+    let mut fleet = fleet(7).await;
+    let network = Arc::new(TcpNetwork);
+    fleet.add_node("d", network).await.expect("node");
+    let reader = Arc::clone(&fleet.nodes[7].node);
+    assert!(all_have(&fleet, 1).await);
+    cut(&fleet, &["a", "b", "c"]);
+
+    fleet.publish_services();
+    let read = within(IN_FORCE, || reader.revision().get() == 2).await;
+    fleet.platform.set_fault(Fault::Down);
+
+    assert!(read, "the reading instance did not get the change");
+    assert!(all_have(&fleet, 2).await, "{:?}", revisions(&fleet));
+}
+
+/// Guards against an instance that stays without services, or serves old ones, when it starts
+/// while the service is down.
+#[tokio::test(flavor = "multi_thread")]
+async fn node_started_in_an_outage_is_ready_with_the_newest_revision() {
+    let mut fleet = fleet(4).await;
+    fleet.publish_services();
+    assert!(all_have(&fleet, 2).await);
+    fleet.platform.set_fault(Fault::Down);
+
+    let network = Arc::new(TcpNetwork);
+    fleet.add_node("a", network).await.expect("node");
+    let node = Arc::clone(&fleet.nodes[4].node);
+    let ready = within(IN_FORCE, || node.is_ready()).await;
+
+    assert!(ready, "not ready; revision {}", node.revision());
+    assert_eq!(node.revision().get(), 2);
+}
+
+/// Guards against a service restored from old data taking changes back, also from an instance
+/// that starts then and is ready with the old data.
+#[tokio::test(flavor = "multi_thread")]
+async fn stale_platform_reverts_nobody() {
+    let mut fleet = fleet(4).await;
+    fleet.publish_services();
+    assert!(all_have(&fleet, 2).await);
+    let old = catalogue(1, &fleet.services);
+    fleet.platform.publish_catalogue(&old);
+    fleet.platform.set_fault(Fault::Stale);
+
+    let network = Arc::new(TcpNetwork);
+    fleet.add_node("a", network).await.expect("node");
+    let added = Arc::clone(&fleet.nodes[4].node);
+    let mut lowest = u64::MAX;
+    let reverted = within(Duration::from_secs(5), || {
+        lowest = lowest.min(
+            fleet
+                .running()
+                .take(4)
+                .map(|n| n.revision().get())
+                .min()
+                .unwrap_or(0),
+        );
+        lowest < 2 || (added.is_ready() && added.revision().get() < 2)
+    })
+    .await;
+
+    assert!(!reverted, "{:?}", revisions(&fleet));
+    assert!(added.is_ready());
+}
+
+/// Guards against a faulty edit taking services away, and against it blocking the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_catalogue_changes_nothing() {
+    let mut fleet = fleet(4).await;
+    let faulty = catalogue(2, &fleet.services).replace("owner: abay", "owner: nobody");
+    let node = Arc::clone(&fleet.nodes[0].node);
+
+    fleet.platform.publish_catalogue(&faulty);
+    let changed = within(Duration::from_secs(3), || {
+        fleet.running().any(|n| n.revision().get() != 1)
+    })
+    .await;
+    let status = page(&node, "/status").await;
+    fleet.revision = 2;
+    fleet.publish_services();
+
+    assert!(!changed, "{:?}", revisions(&fleet));
+    let problem = status["catalogue_problems"][0].as_str().unwrap_or("");
+    assert!(
+        problem.contains("TP112") && problem.contains("line"),
+        "{problem}"
+    );
+    assert!(all_have(&fleet, 3).await, "{:?}", revisions(&fleet));
+}
+
+/// Guards against two editors who both believe that their edit is in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_racing_edits_wins_everywhere() {
+    let fleet = fleet(4).await;
+    let client = reqwest::Client::new();
+    let url = format!(
+        "http://{}/v1/catalogue?expected=1",
+        fleet.platform.address()
+    );
+    let edits = [50_001, 50_002].map(|requests| {
+        let text = catalogue(2, &fleet.services);
+        text.replace("requests: 50000/s", &format!("requests: {requests}/s"))
+    });
+
+    let [first, second] = edits.map(|text| client.put(&url).body(text).send());
+    let (first, second) = tokio::join!(first, second);
+    let accepted = [first, second].map(|r| r.expect("reply").status().is_success());
+    let spread = all_have(&fleet, 2).await;
+
+    assert_eq!(accepted.iter().filter(|a| **a).count(), 1, "{accepted:?}");
+    assert!(spread, "{:?}", revisions(&fleet));
+    let mut digests = BTreeSet::new();
+    for node in fleet.running() {
+        digests.insert(page(node, "/status").await["digest"].to_string());
+    }
+    assert_eq!(digests.len(), 1, "{digests:?}");
+}
+
+/// Guards against availability zones left behind while they cannot reach the service, and after
+/// they can again.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_zones_follow_through_peers_and_heal() {
+    let mut fleet = fleet(6).await;
+    cut(&fleet, &["b", "c"]);
+
+    fleet.publish_services();
+    let during = all_have(&fleet, 2).await;
+    cut(&fleet, &[]);
+    fleet.publish_services();
+    let after = all_have(&fleet, 3).await;
+
+    assert!(during && after, "{:?}", revisions(&fleet));
+}
+
+async fn fetch_some(fleet: &Fleet, service: u32, count: usize) -> u64 {
+    let caller = Caller::start(fleet.fabric.address(), service)
+        .await
+        .expect("caller");
+    for _ in 0..count {
+        let budget = Duration::from_secs(5);
+        let outcome = caller
+            .fetch(RequestId::random(), Bytes::from_static(b"x"), budget)
+            .await;
+        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+    }
+    let of_service = |t: &&(usize, _)| t.0 + 1 == service as usize;
+    let targets = fleet.targets.iter().filter(of_service);
+    targets.map(|(_, t)| t.record().requests).sum()
+}
+
+async fn fleet_requests(node: &Node, owner: &str) -> u64 {
+    let usage = page(node, "/usage").await;
+    usage["fleet"]["owners"][owner]["requests"]
+        .as_u64()
+        .unwrap_or(0)
+}
+
+/// Guards against usage that dies with the instance that counted it, and against instances that
+/// answer differently for the fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_instance_loses_little_usage_and_totals_agree() {
+    let mut fleet = fleet(6).await;
+    let abay = fetch_some(&fleet, 1, 60).await;
+    let kuiseb = fetch_some(&fleet, 2, 40).await;
+    sleep(LOSS).await;
+
+    fleet.nodes[1].kill();
+    let end = Instant::now() + AGREEMENT;
+    let mut totals = BTreeSet::new();
+    while Instant::now() < end && totals != BTreeSet::from([(abay, kuiseb)]) {
+        totals.clear();
+        for node in fleet.running() {
+            let total = (
+                fleet_requests(node, "abay").await,
+                fleet_requests(node, "kuiseb").await,
+            );
+            totals.insert(total);
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+
+    assert_eq!(totals, BTreeSet::from([(abay, kuiseb)]));
+    let usage = page(fleet.running().next().expect("node"), "/usage").await;
+    assert!(usage["fleet"]["oldest_ms"].is_u64(), "{usage}");
+}
+
+/// Guards against control traffic above its budget, also while usage changes everywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn control_traffic_stays_within_its_budget() {
+    let fleet = fleet(8).await;
+    let end = Instant::now() + Duration::from_secs(15);
+    while Instant::now() < end {
+        fetch_some(&fleet, 1, 10).await;
+        fetch_some(&fleet, 2, 10).await;
+    }
+
+    for node in fleet.running() {
+        let status = page(node, "/status").await;
+        let sent = status["control_sent"].as_f64().expect("rate");
+        let received = status["control_received"].as_f64().expect("rate");
+        println!(
+            "{}: {sent:.0} B/s sent, {received:.0} B/s received",
+            status["instance"]
+        );
+        assert!(
+            sent > 0.0 && sent + received < CONTROL_LIMIT,
+            "{sent} {received}"
+        );
+    }
+}
+
+/// Guards against pages that answer a wrong question with something else.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_pages_answer_with_proper_codes() {
+    let fleet = fleet(1).await;
+    fetch_some(&fleet, 1, 1).await;
+    let address = fleet.nodes[0].node.status_address();
+    let unknown = RequestId::random();
+
+    for (path, expected) in [
+        ("/ready", 200),
+        ("/status", 200),
+        ("/usage", 200),
+        ("/metrics", 200),
+        ("/explain?last=10", 200),
+        ("/explain", 400),
+        ("/explain?flow=12", 400),
+        ("/explain?last=0", 400),
+        ("/usage?owner=abay", 400),
+        (&format!("/explain?request={unknown}"), 404),
+        ("/elsewhere", 404),
+    ] {
+        let url = format!("http://{address}{path}");
+        let reply = reqwest::get(url).await.expect("reply");
+        assert_eq!(reply.status().as_u16(), expected, "{path}");
+    }
+}
