Route by locality split, share credits and observed health

Cause: the stub took the less loaded of two random targets by report alone, so a target that reports no load attracted work, zones were ignored, and failing or cold targets kept a full share. Change: every target is owed a share of an instance's choices (zone split, capacity, slow start, slowness within its zone, tilt of at most 4% by reported feeds); of 5 random targets that are not ahead of their share the least loaded is taken. Ejection with growing time, 30% cap and panic threshold. Router takes membership and clock.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -180,7 +180,12 @@
             clock,
             log.clone(),
         ));
-        let router = Arc::new(Router::new(Arc::clone(&catalogue), Arc::clone(&targets)));
+        let router = Arc::new(Router::new(
+            Arc::clone(&catalogue),
+            Arc::clone(&targets),
+            Arc::clone(&membership),
+            clock,
+        ));
         let admission = Arc::new(Admission::new(
             Arc::clone(&catalogue),
             Arc::clone(&membership),
--- a/crates/proxy/src/routing/router.rs
+++ b/crates/proxy/src/routing/router.rs
@@ -1,34 +1,13 @@
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use rand::seq::IteratorRandom as _;
-use tanager_core::{ResultCode, ServiceId, TargetId};
+use rand::SeedableRng as _;
+use tanager_core::{Clock, FastMap, ResultCode, Revision, ServiceId, TargetId, ZoneName};
 
-use crate::catalogue::{CatalogueStore, TargetState};
+use crate::catalogue::{Catalogue, CatalogueStore, Entry, Target, TargetState};
+use crate::membership::{InstanceState, Membership};
+use crate::routing::{Candidate, Observation, Picker, Placement, Tuning};
 use crate::target::{TargetLink, TargetPool};
 
-/// Random candidates that are compared for one choice.
-const CANDIDATES: usize = 2;
-
-/// What is to be placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Placement {
-    /// A feed, compared by open feeds.
-    Flow,
-    /// A request, compared by running and queued requests.
-    Request,
-}
-
-/// What happened to work at a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Observation {
-    /// It was done in the given time.
-    Done(std::time::Duration),
-    /// It was shed before it started.
-    Shed,
-    /// It failed or was lost.
-    Failed,
-}
-
 /// A chosen target.
 #[derive(Debug, Clone)]
 pub struct Choice {
@@ -44,13 +23,30 @@
 pub struct Router {
     catalogue: Arc<CatalogueStore>,
     targets: Arc<TargetPool>,
+    membership: Arc<Membership>,
+    clock: Clock,
+    picker: Mutex<(Revision, Picker)>,
 }
 
 impl Router {
     /// Creates a router.
     #[must_use]
-    pub const fn new(catalogue: Arc<CatalogueStore>, targets: Arc<TargetPool>) -> Self {
-        Self { catalogue, targets }
+    pub fn new(
+        catalogue: Arc<CatalogueStore>,
+        targets: Arc<TargetPool>,
+        membership: Arc<Membership>,
+        clock: Clock,
+    ) -> Self {
+        let zone = membership.identity().zone.clone();
+        let rng = rand::rngs::StdRng::from_rng(&mut rand::rng());
+        let picker = Picker::new(zone, Tuning::default(), clock.now(), rng);
+        Self {
+            catalogue,
+            targets,
+            membership,
+            clock,
+            picker: Mutex::new((Revision::new(0), picker)),
+        }
     }
 
     /// Chooses a target of the service that is not excluded.
@@ -66,28 +62,45 @@
     ) -> Result<Choice, ResultCode> {
         let catalogue = self.catalogue.current();
         let entry = catalogue.entry(service).ok_or(ResultCode::ServiceUnknown)?;
-        let usable = entry
-            .targets
+        let links = self.usable(entry);
+        let candidates: Vec<Candidate> = links
             .iter()
-            .filter(|t| t.state == TargetState::Active && !excluded.contains(&t.id))
-            .filter_map(|t| self.targets.link(t.id))
-            .filter(|l| l.is_ready() && !l.load().load.leaving);
-        let candidates = usable.sample(&mut rand::rng(), CANDIDATES);
-        let inputs = describe(&candidates, placement);
-        let best = candidates.into_iter().min_by_key(|l| load_of(l, placement));
-        let link = best.ok_or(match placement {
+            .map(|link| candidate(link, placement))
+            .filter(|c| placement == Placement::Request || c.reported + c.own < c.capacity)
+            .collect();
+        let zones = (&self.instances(), &listed(entry, placement));
+        let kind = (service, placement);
+        let now = self.clock.now();
+        let pick = self
+            .lock_picker(&catalogue)
+            .1
+            .pick(kind, &candidates, excluded, zones, now);
+        let none = match placement {
             Placement::Flow => ResultCode::FlowNoTarget,
             Placement::Request => ResultCode::RequestNoTarget,
-        })?;
+        };
+        let pick = pick.ok_or(none)?;
+        let target = candidates[pick.index].target;
+        let link = links.into_iter().find(|l| l.target.id == target);
         Ok(Choice {
-            link,
-            inputs,
-            reason: "least loaded of the sampled targets",
+            link: link.ok_or(none)?,
+            inputs: pick.inputs,
+            reason: pick.reason,
         })
     }
 
     /// Learns from the end of work at a target.
-    pub fn observe(&self, _link: &TargetLink, _observation: Observation) {}
+    pub fn observe(&self, link: &TargetLink, observation: Observation) {
+        let catalogue = self.catalogue.current();
+        let Some(entry) = catalogue.entry(link.service) else {
+            return;
+        };
+        let (target, listed) = (link.target.id, entry.targets.len());
+        let now = self.clock.now();
+        self.lock_picker(&catalogue)
+            .1
+            .observe(link.service, target, observation, listed, now);
+    }
 
     /// Returns whether the target takes no new work.
     #[must_use]
@@ -98,17 +111,71 @@
             .map(|(_, target)| target.state);
         listed != Some(TargetState::Active) || link.load().load.leaving
     }
+
+    fn usable(&self, entry: &Entry) -> Vec<Arc<TargetLink>> {
+        let active = entry
+            .targets
+            .iter()
+            .filter(|t| t.state == TargetState::Active);
+        active
+            .filter_map(|t| self.targets.link(t.id))
+            .filter(|l| l.is_ready() && !l.load().load.leaving)
+            .collect()
+    }
+
+    /// Counts the live instances of this region by zone.
+    fn instances(&self) -> FastMap<ZoneName, f64> {
+        let region = &self.membership.identity().region;
+        let mut zones = FastMap::default();
+        for instance in &self.membership.list().instances {
+            if instance.region == *region && instance.state == InstanceState::Live {
+                *zones.entry(instance.zone.clone()).or_default() += 1.0;
+            }
+        }
+        zones
+    }
+
+    fn lock_picker(&self, catalogue: &Catalogue) -> MutexGuard<'_, (Revision, Picker)> {
+        let mut picker = self.picker.lock().unwrap_or_else(PoisonError::into_inner);
+        if picker.0 < catalogue.revision {
+            picker.0 = catalogue.revision;
+            picker.1.retain(|id| catalogue.target(id).is_some());
+        }
+        picker
+    }
 }
 
-fn load_of(link: &TargetLink, placement: Placement) -> u32 {
-    let view = link.load();
-    match placement {
-        Placement::Flow => view.load.flows + view.opened,
-        Placement::Request => link.inflight().max(view.load.running + view.load.queued),
+/// Sums the capacity of the active targets by zone.
+fn listed(entry: &Entry, placement: Placement) -> FastMap<ZoneName, f64> {
+    let mut zones = FastMap::default();
+    for target in &entry.targets {
+        if target.state == TargetState::Active {
+            *zones.entry(target.zone.clone()).or_default() += capacity(target, placement);
+        }
     }
+    zones
+}
+
+fn capacity(target: &Target, placement: Placement) -> f64 {
+    f64::from(match placement {
+        Placement::Flow => target.flows.max(1),
+        Placement::Request => target.slots,
+    })
 }
 
-fn describe(candidates: &[Arc<TargetLink>], placement: Placement) -> String {
-    let part = |l: &Arc<TargetLink>| format!("{}={}", l.target.name, load_of(l, placement));
-    candidates.iter().map(part).collect::<Vec<_>>().join(" ")
+fn candidate(link: &TargetLink, placement: Placement) -> Candidate {
+    let view = link.load();
+    let (reported, own) = match placement {
+        Placement::Flow => (view.load.flows, view.opened),
+        Placement::Request => (view.load.running + view.load.queued, link.inflight()),
+    };
+    Candidate {
+        target: link.target.id,
+        incarnation: link.target.incarnation,
+        zone: link.target.zone.clone(),
+        capacity: capacity(&link.target, placement),
+        reported: f64::from(reported),
+        reported_at: view.at,
+        own: f64::from(own),
+    }
 }
