Admit by rate, queue and adaptive concurrency, and lend rates

Cause: the stub admitted everything up to a fixed 64 runs per service and had no limits. Ruled out: loans that end a fixed time after their arrival (a late message would be in use at both ends), so a loan ends 3 s after the borrower asked, on the borrower's clock; refusing by average service time before a direct grant (a slow average could then never be corrected). Change: token buckets for owner, service and guaranteed minimum at limit / N with the largest N of 30 s; Demand, Loan, demand, lend and borrow; one queue per service by class and deadline with eviction of the least urgent; concurrency limit by success, sheds and average latency; flow limits by reported feeds and own opens of the last 2 s, at most headroom / N. Refusals carry inputs and reason and are logged by executor and flows.

--- a/crates/proxy/src/admission/control.rs
+++ b/crates/proxy/src/admission/control.rs
@@ -1,35 +1,64 @@
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tanager_core::{Clock, FastMap, Millis, ResultCode, ServiceId};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::catalogue::CatalogueStore;
+use crate::admission::bucket::FleetSize;
+use crate::admission::flow_limits::FlowLimits;
+use crate::admission::gate::Gate;
+use crate::admission::limiter::Limiter;
+use crate::admission::rate_limits::RateLimits;
+use crate::admission::{Demand, LimitKey, Loan, Permit};
+use crate::catalogue::{CatalogueStore, Entry, TargetState};
 use crate::membership::Membership;
+use crate::target::TargetPool;
 
-/// Requests that one instance runs at the same time for one service, until it is adapted.
-const CONCURRENCY: usize = 64;
+/// Runs in flight that one instance may start with for each slot that is its part.
+const START_SHARE: f64 = 2.0;
+/// Smallest concurrency to start with.
+const START_MINIMUM: f64 = 4.0;
+/// Runs in flight for each slot of a service beyond which more would only wait at targets.
+const MOST_SHARE: f64 = 2.0;
 
-/// Leave to run one request. Dropping it admits the next.
-#[derive(Debug)]
-pub struct Permit {
-    _slot: OwnedSemaphorePermit,
+/// Why work is not taken. It must not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refused {
+    /// The code for the caller.
+    pub code: ResultCode,
+    /// The values compared, for the decision log.
+    pub inputs: String,
+    /// Why the refusal follows, for the decision log.
+    pub reason: &'static str,
 }
 
 /// Decides which work is taken.
 pub struct Admission {
     catalogue: Arc<CatalogueStore>,
+    membership: Arc<Membership>,
+    targets: Arc<TargetPool>,
     clock: Clock,
-    services: std::sync::Mutex<FastMap<ServiceId, Arc<Semaphore>>>,
+    rates: Mutex<RateLimits>,
+    flows: Mutex<(FleetSize, FlowLimits)>,
+    gates: Mutex<FastMap<ServiceId, Arc<Gate>>>,
 }
 
 impl Admission {
     /// Creates the admission control of an instance.
     #[must_use]
-    pub fn new(catalogue: Arc<CatalogueStore>, _: Arc<Membership>, clock: Clock) -> Self {
+    pub fn new(
+        catalogue: Arc<CatalogueStore>,
+        membership: Arc<Membership>,
+        targets: Arc<TargetPool>,
+        clock: Clock,
+    ) -> Self {
+        let rates = Mutex::new(RateLimits::new(membership.identity().incarnation));
         Self {
             catalogue,
+            membership,
+            targets,
             clock,
-            services: std::sync::Mutex::default(),
+            rates,
+            flows: Mutex::default(),
+            gates: Mutex::default(),
         }
     }
 
@@ -37,39 +66,103 @@
     ///
     /// # Errors
     ///
-    /// Returns the code of the limit that is reached.
-    pub fn admit_flow(&self, service: ServiceId) -> Result<(), ResultCode> {
-        let known = self.catalogue.current().entry(service).is_some();
-        if known {
-            Ok(())
-        } else {
-            Err(ResultCode::ServiceUnknown)
-        }
+    /// Returns the limit that is reached.
+    pub fn admit_flow(&self, service: ServiceId) -> Result<(), Refused> {
+        let catalogue = self.catalogue.current();
+        let entry = catalogue.entry(service).ok_or_else(unknown_service)?;
+        let siblings = catalogue
+            .entries
+            .values()
+            .filter(|e| e.owner == entry.owner);
+        let owner_flows = siblings.map(|e| self.reported_flows(e)).sum();
+        let owner_limit = catalogue.owners.get(&entry.owner).map_or(0, |o| o.flows);
+        let owner = LimitKey::Owner(entry.owner.clone());
+        let own = LimitKey::Service(service);
+        let limits = [
+            (owner, owner_limit, owner_flows),
+            (own, entry.limits.flows, self.reported_flows(entry)),
+        ];
+        let (count, now) = (self.membership.instance_count(), self.clock.now());
+        let mut flows = lock(&self.flows);
+        let (size, flow_limits) = &mut *flows;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let instances = size.update(count, now) as u64;
+        flow_limits.take(&limits, instances, now)
     }
 
     /// Waits until a request may run.
     ///
     /// # Errors
     ///
-    /// Returns the code of the limit that is reached, or [`ResultCode::QueueDeadline`]. The
-    /// request must not run then.
-    pub async fn admit(&self, service: ServiceId, deadline: Millis) -> Result<Permit, ResultCode> {
-        if self.catalogue.current().entry(service).is_none() {
-            return Err(ResultCode::ServiceUnknown);
-        }
-        let semaphore = {
-            let mut services = self
-                .services
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner);
-            let new = || Arc::new(Semaphore::new(CONCURRENCY));
-            Arc::clone(services.entry(service).or_insert_with(new))
-        };
-        let left = deadline.since(self.clock.now());
-        let slot = tokio::time::timeout(left, semaphore.acquire_owned()).await;
-        match slot {
-            Ok(Ok(slot)) => Ok(Permit { _slot: slot }),
-            _ => Err(ResultCode::QueueDeadline),
-        }
+    /// Returns the limit that is reached, or that the deadline cannot be met. The request must
+    /// not run then.
+    pub async fn admit(&self, service: ServiceId, deadline: Millis) -> Result<Permit, Refused> {
+        let catalogue = self.catalogue.current();
+        let entry = catalogue.entry(service).ok_or_else(unknown_service)?;
+        let (count, now) = (self.membership.instance_count(), self.clock.now());
+        lock(&self.rates).take(&catalogue, entry, count, now)?;
+        let gate = self.gate(entry, count);
+        let (class, queue) = (entry.class, entry.limits.queue);
+        // A wait must not keep an old catalogue in memory.
+        drop(catalogue);
+        gate.admit(class, deadline, queue).await
+    }
+
+    /// Returns the rates that this instance lacks, for the next heartbeat.
+    #[must_use]
+    pub fn demand(&self) -> Vec<Demand> {
+        lock(&self.rates).demand(self.clock.now())
+    }
+
+    /// Lends spare rates to the instance that sent the demand. The own rate is reduced first.
+    #[must_use]
+    pub fn lend(&self, demand: &[Demand]) -> Vec<Loan> {
+        let catalogue = self.catalogue.current();
+        let count = self.membership.instance_count();
+        lock(&self.rates).lend(&catalogue, demand, count, self.clock.now())
+    }
+
+    /// Takes over the loans that answer this instance's demand.
+    pub fn borrow(&self, loans: &[Loan]) {
+        lock(&self.rates).borrow(loans, self.clock.now());
     }
+
+    fn gate(&self, entry: &Entry, instances: usize) -> Arc<Gate> {
+        let slots: u32 = active(entry).map(|t| t.slots).sum();
+        let most = (f64::from(slots) * MOST_SHARE).max(START_MINIMUM);
+        let mut gates = lock(&self.gates);
+        let gate = gates.entry(entry.service).or_insert_with(|| {
+            let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+            let part = f64::from(slots) / f64::from(instances.max(1));
+            let start = (part * START_SHARE).max(START_MINIMUM);
+            let limiter = Limiter::new(start, most, self.clock.now());
+            Arc::new(Gate::new(self.clock, limiter))
+        });
+        gate.bound(most);
+        Arc::clone(gate)
+    }
+
+    fn reported_flows(&self, entry: &Entry) -> u64 {
+        let links = entry.targets.iter().filter_map(|t| self.targets.link(t.id));
+        links.map(|l| u64::from(l.load().load.flows)).sum()
+    }
+}
+
+fn active(entry: &Entry) -> impl Iterator<Item = &crate::catalogue::Target> {
+    entry
+        .targets
+        .iter()
+        .filter(|t| t.state == TargetState::Active)
+}
+
+const fn unknown_service() -> Refused {
+    Refused {
+        code: ResultCode::ServiceUnknown,
+        inputs: String::new(),
+        reason: "the catalogue has no such service",
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/proxy/src/admission/mod.rs
+++ b/crates/proxy/src/admission/mod.rs
@@ -1,5 +1,18 @@
 //! Limits of owners and services, waiting queues and concurrency.
 
+mod bucket;
 mod control;
+mod flow_limits;
+mod gate;
+mod limiter;
+mod loan;
+mod rate_limits;
 
-pub use control::{Admission, Permit};
+pub use control::{Admission, Refused};
+pub use gate::{Ended, Permit};
+pub use loan::{Demand, LimitKey, Loan};
+
+#[cfg(test)]
+mod gate_tests;
+#[cfg(test)]
+mod tests;
--- a/crates/proxy/src/execution/executor.rs
+++ b/crates/proxy/src/execution/executor.rs
@@ -10,7 +10,7 @@
     Answer, Cancel, DatagramBody, Deadline, KeyRing, Refusal, Request, Token, split_answer,
 };
 
-use crate::admission::Admission;
+use crate::admission::{Admission, Ended};
 use crate::execution::{Ending, Lookup, RequestTable};
 use crate::flow::CallerSocket;
 use crate::membership::Membership;
@@ -187,7 +187,14 @@
         }
         let permit = match self.admission.admit(job.service, job.deadline).await {
             Ok(permit) => permit,
-            Err(code) => return not_run(code),
+            Err(refused) => {
+                let id = job.request.request;
+                let kind = DecisionKind::Refuse;
+                let decision = Decision::request(Part::Admission, kind, job.service, id);
+                self.log
+                    .decide(decision.because(refused.code, refused.inputs, refused.reason));
+                return not_run(refused.code);
+            }
         };
         let mut excluded: Vec<TargetId> = Vec::new();
         let mut refusal = ResultCode::RequestNoTarget;
@@ -197,13 +204,17 @@
             }
             match self.attempt(job, &mut excluded).await {
                 Ok(RunOutcome::Done(payload)) => {
-                    drop(permit);
+                    permit.finish(Ended::Done);
                     return Ending::Answered {
                         answer: rand::random::<u64>() | 1,
                         payload,
                     };
                 }
-                Ok(RunOutcome::Shed(code)) | Err(code) => refusal = code,
+                Ok(RunOutcome::Shed(code)) => {
+                    permit.shed();
+                    refusal = code;
+                }
+                Err(code) => refusal = code,
                 Ok(RunOutcome::NotSent(error)) => refusal = error.code(),
                 Ok(RunOutcome::Failed) => {
                     let code = ResultCode::RequestFailed;
--- a/crates/proxy/src/flow/flows.rs
+++ b/crates/proxy/src/flow/flows.rs
@@ -71,7 +71,12 @@
             self.confirm(service, open.flow, generation, None, caller);
             return;
         }
-        if let Err(code) = self.admission.admit_flow(service) {
+        if let Err(refused) = self.admission.admit_flow(service) {
+            let kind = DecisionKind::ResetFlow;
+            let decision = Decision::flow(Part::Admission, kind, service, open.flow);
+            let code = refused.code;
+            self.log
+                .decide(decision.because(code, refused.inputs, refused.reason));
             self.reset(service, open.flow, code, caller);
             return;
         }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -189,6 +189,7 @@
         let admission = Arc::new(Admission::new(
             Arc::clone(&catalogue),
             Arc::clone(&membership),
+            Arc::clone(&targets),
             clock,
         ));
         let execution = Arc::new(Execution {
