--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -200,10 +200,16 @@
             clock,
             log.clone(),
         ));
-        let router = Arc::new(Router::new(Arc::clone(&catalogue), Arc::clone(&targets)));
+        let router = Arc::new(Router::new(
+            Arc::clone(&catalogue),
+            Arc::clone(&targets),
+            Arc::clone(&membership),
+            clock,
+        ));
         let admission = Arc::new(Admission::new(
             Arc::clone(&catalogue),
             Arc::clone(&membership),
+            Arc::clone(&targets),
             clock,
         ));
         let execution = Arc::new(Execution {
