Add tanager-bench with eight experiments

Cause: no experiment ran against real balancer processes. Change: a runner that starts and stops tanager-balancer by process id, keeps the truth of targets and callers, and reports figures, goals, baselines and broken promises. Callers repeat requests with doubling intervals and open a new session for later requests after 0.7 s without an outcome; a waiting request stays with its executor.

--- /dev/null
+++ b/crates/standins/src/bin/tanager-bench/faults.rs
@@ -0,0 +1,367 @@
+//! Experiments with schedules of faults.
+
+use std::io;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use tanager_standins::fabric::Faults;
+use tanager_standins::fleet::{ZONES, service};
+use tanager_standins::load::{Mix, Tally, drive};
+use tanager_standins::platform::Fault;
+use tanager_standins::settings::Service;
+use tanager_standins::target::Options;
+use tanager_standins::verdict::Truth;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::Plan;
+use crate::fleet::Fleet;
+use crate::report::Report;
+
+/// Longest delay of a late datagram.
+const LATE: Duration = Duration::from_secs(5);
+/// A drained target is removed when its feeds have moved, but not before this time.
+const DRAIN_TIME: Duration = Duration::from_secs(6);
+
+/// Returns the services of both owners with their numbers of targets.
+pub fn services() -> Vec<(Service, usize)> {
+    let class = |class, s: Service| Service { class, ..s };
+    vec![
+        (class("urgent", service("buzz", 1, "abay")), 14),
+        (class("background", service("print", 2, "abay")), 4),
+        (class("urgent", service("bin-ledger", 3, "kuiseb")), 14),
+        (class("normal", service("sheet-vault", 4, "kuiseb")), 4),
+    ]
+}
+
+/// Returns the ordinary load of both owners; about 30% of the capacity at `work` = 1.
+pub fn mixes(feeds: usize, work: f64) -> Vec<Mix> {
+    let mix = |name: &str, service, feeds, once, repeatable| Mix {
+        name: name.to_owned(),
+        service,
+        feeds,
+        once: once * work,
+        repeatable: repeatable * work,
+        answer_size: 64,
+    };
+    vec![
+        mix("buzz", 1, feeds, 200.0, 0.0),
+        mix("print", 2, 0, 0.0, 60.0),
+        mix("bin-ledger", 3, feeds, 200.0, 0.0),
+        mix("sheet-vault", 4, 0, 0.0, 60.0),
+    ]
+}
+
+/// Makes a request take 40 ms, so that the whole capacity (1,800 requests a second) is low
+/// enough for callers in one process to exceed it 10 times.
+pub fn slow(mut options: Options) -> Options {
+    options.service_time = Duration::from_millis(40);
+    options
+}
+
+async fn fleet(plan: &Plan) -> io::Result<Fleet> {
+    Fleet::start(8, services(), slow, plan.seed).await
+}
+
+fn load(
+    fleet: &Fleet,
+    plan: &Plan,
+    mixes: Vec<Mix>,
+) -> tokio::task::JoinHandle<io::Result<Vec<Tally>>> {
+    let (address, time) = (fleet.fabric.address(), Duration::from_secs(plan.seconds));
+    tokio::spawn(async move { drive(address, &mixes, time).await })
+}
+
+fn after(plan: &Plan, share: f64) -> Duration {
+    Duration::from_secs(plan.seconds).mul_f64(share)
+}
+
+/// Collects the truth and the breaches that every experiment checks.
+async fn judge(fleet: &mut Fleet, tallies: Vec<Tally>, report: &mut Report) -> Truth {
+    for name in fleet.crashed() {
+        report.breaches.push(format!("{name} ended by itself"));
+    }
+    let truth = fleet.truth(tallies).await;
+    report.breaches.extend(truth.breaches());
+    for tally in &truth.tallies {
+        if tally.once.answered + tally.repeatable.answered == 0 {
+            report
+                .breaches
+                .push(format!("{} answered nothing", tally.name));
+        }
+    }
+    truth
+}
+
+fn unknown(truth: &Truth) -> u64 {
+    truth.sum(|t| t.once.unknown + t.repeatable.unknown)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
+pub fn figure(count: u64) -> f64 {
+    count as f64
+}
+
+pub async fn planned_changes(plan: &Plan) -> io::Result<Report> {
+    let mut fleet = fleet(plan).await?;
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let load = load(&fleet, plan, mixes(100, 0.5));
+    let start = Instant::now();
+    let mut leaving: Vec<(u32, Instant)> = Vec::new();
+    for step in 0..8u32 {
+        sleep_until(start + after(plan, 0.1) * (step + 1)).await;
+        // The cut zone learns of the changes from its peers only. The new balancer's own zone is
+        // not cut, so that the schedule fits into the load.
+        let own = fleet.balancers[0].instance.zone.clone();
+        let others: Vec<&str> = ZONES.into_iter().filter(|z| *z != own).collect();
+        let zone = others[rng.random_range(0..others.len())];
+        fleet.platform.cut_zones([zone.to_owned()]);
+        let index = rng.random_range(0..fleet.targets.len() - leaving.len());
+        leaving.push((fleet.drain_target(index).await?, Instant::now()));
+        fleet.replace_balancer(0).await?;
+        fleet.platform.cut_zones([]);
+        leaving.retain(|(number, since)| {
+            let done = since.elapsed() > DRAIN_TIME && fleet.is_idle(*number);
+            if done {
+                fleet.remove_target(*number);
+            }
+            !done
+        });
+        // Leaving targets stand last, so the next choice falls on an active one.
+        fleet
+            .targets
+            .sort_by_key(|(_, number, _)| leaving.iter().any(|(n, _)| n == number));
+    }
+    if start.elapsed() > after(plan, 1.0) {
+        return Err(io::Error::other("the changes took longer than the load"));
+    }
+    let tallies = load.await??;
+    fleet.settle().await?;
+    let mut report = Report::default();
+    let truth = judge(&mut fleet, tallies, &mut report).await;
+    let (broken, lost) = (truth.sum(|t| t.feeds_broken), unknown(&truth));
+    if broken > 0 {
+        report
+            .breaches
+            .push(format!("{broken} feeds broke in planned changes"));
+    }
+    if lost > 0 {
+        report
+            .breaches
+            .push(format!("{lost} requests were cut off by planned changes"));
+    }
+    report.figures = vec![
+        ("feeds_opened", figure(truth.sum(|t| t.feeds_opened))),
+        ("feeds_broken", figure(broken)),
+        ("requests_lost", figure(lost)),
+        (
+            "new_work_after_leave",
+            figure(truth.did(|r| r.new_work_after_leave)),
+        ),
+    ];
+    Ok(report)
+}
+
+pub async fn balancer_kill(plan: &Plan) -> io::Result<Report> {
+    let mut fleet = fleet(plan).await?;
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let load = load(&fleet, plan, mixes(200, 0.5));
+    for _ in 0..2 {
+        sleep(after(plan, 0.33)).await;
+        let index = rng.random_range(0..fleet.balancers.len());
+        fleet.kill_balancer(index).await;
+    }
+    let tallies = load.await??;
+    let mut report = Report::default();
+    let truth = judge(&mut fleet, tallies, &mut report).await;
+    let gap = truth
+        .tallies
+        .iter()
+        .map(|t| t.longest_gap_ms)
+        .max()
+        .unwrap_or(0);
+    report.figures = vec![
+        ("feeds_opened", figure(truth.sum(|t| t.feeds_opened))),
+        ("feeds_broken", figure(truth.sum(|t| t.feeds_broken))),
+        ("longest_gap_ms", figure(gap)),
+        ("outcome_unknown", figure(unknown(&truth))),
+    ];
+    Ok(report)
+}
+
+/// Loss, duplicates and datagrams that are late by seconds.
+fn bad_network() -> Faults {
+    Faults {
+        loss: 0.05,
+        duplicates: 0.1,
+        delayed: 0.1,
+        delay: LATE,
+    }
+}
+
+pub async fn execution(plan: &Plan) -> io::Result<Report> {
+    let mut fleet = fleet(plan).await?;
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    fleet.fabric.set_faults(bad_network());
+    let load = load(&fleet, plan, mixes(0, 0.5));
+    let end = Instant::now() + after(plan, 0.9);
+    while Instant::now() < end {
+        match rng.random_range(0..4) {
+            0 => Chaos::KillBalancer.run(&mut fleet, &mut rng).await?,
+            1 => Chaos::KillTarget.run(&mut fleet, &mut rng).await?,
+            _ => Chaos::Pause.run(&mut fleet, &mut rng).await?,
+        }
+        sleep(Duration::from_millis(rng.random_range(200..1_500))).await;
+    }
+    let tallies = load.await??;
+    // Late copies may still arrive.
+    sleep(LATE + Duration::from_secs(1)).await;
+    let mut report = Report::default();
+    let truth = judge(&mut fleet, tallies, &mut report).await;
+    report.figures = vec![
+        ("requests", figure(truth.sum(|t| t.once.sent))),
+        ("ran_twice", figure(truth.ran_twice())),
+        ("ran_after_not_run", figure(truth.ran_after_not_run())),
+        ("outcome_unknown", figure(truth.sum(|t| t.once.unknown))),
+        ("wrong_service", figure(truth.wrong_service())),
+    ];
+    Ok(report)
+}
+
+/// A fault that heals itself.
+#[derive(Clone, Copy)]
+enum Chaos {
+    KillBalancer,
+    KillTarget,
+    Pause,
+    ReplaceBalancer,
+    DrainTarget,
+    BadNetwork,
+    PlatformDown,
+    PlatformStale,
+    CutZone,
+    ForgetCallers,
+    ForgetFeeds,
+    HalfFabric,
+}
+
+impl Chaos {
+    const ALL: [Self; 12] = [
+        Self::KillBalancer,
+        Self::KillTarget,
+        Self::Pause,
+        Self::ReplaceBalancer,
+        Self::DrainTarget,
+        Self::BadNetwork,
+        Self::PlatformDown,
+        Self::PlatformStale,
+        Self::CutZone,
+        Self::ForgetCallers,
+        Self::ForgetFeeds,
+        Self::HalfFabric,
+    ];
+
+    async fn run(self, fleet: &mut Fleet, rng: &mut StdRng) -> io::Result<()> {
+        let balancer = rng.random_range(0..fleet.balancers.len());
+        let target = rng.random_range(0..fleet.targets.len());
+        let time = Duration::from_millis(rng.random_range(500..4_000));
+        match self {
+            Self::KillBalancer => {
+                let zone = fleet.balancers[balancer].instance.zone.clone();
+                fleet.kill_balancer(balancer).await;
+                fleet.add_balancer(&zone).await?;
+            }
+            Self::KillTarget => {
+                let (service, number, _) = fleet.targets[target];
+                fleet.remove_target(number);
+                fleet
+                    .add_target(service, ZONES[rng.random_range(0..3)])
+                    .await?;
+                fleet.publish_catalogue();
+            }
+            Self::Pause => {
+                fleet.balancers[balancer].signal("STOP");
+                sleep(time).await;
+                fleet.balancers[balancer].signal("CONT");
+            }
+            Self::ReplaceBalancer => fleet.replace_balancer(balancer).await?,
+            Self::DrainTarget => {
+                let number = fleet.drain_target(target).await?;
+                sleep(DRAIN_TIME).await;
+                fleet.remove_target(number);
+            }
+            Self::ForgetCallers => fleet.fabric.forget_callers(),
+            Self::ForgetFeeds => fleet.targets[target].2.forget_feeds(),
+            lasting => {
+                lasting.set(fleet, rng);
+                sleep(time).await;
+                lasting.heal(fleet);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts a fault that lasts until it is healed; the others do nothing.
+    fn set(self, fleet: &Fleet, rng: &mut StdRng) {
+        match self {
+            Self::BadNetwork => fleet.fabric.set_faults(bad_network()),
+            Self::PlatformDown => fleet.platform.set_fault(Fault::Down),
+            Self::PlatformStale => fleet.platform.set_fault(Fault::Stale),
+            Self::CutZone => {
+                let zone = ZONES[rng.random_range(0..ZONES.len())];
+                fleet.platform.cut_zones([zone.to_owned()]);
+            }
+            Self::HalfFabric => {
+                let half = fleet.balancers.len().div_ceil(2);
+                let half = fleet.balancers.iter().take(half);
+                fleet
+                    .fabric
+                    .set_balancers(half.map(|b| b.instance.callers).collect());
+            }
+            _ => {}
+        }
+    }
+
+    fn heal(self, fleet: &Fleet) {
+        match self {
+            Self::BadNetwork => fleet.fabric.set_faults(Faults::default()),
+            Self::PlatformDown | Self::PlatformStale => fleet.platform.set_fault(Fault::None),
+            Self::CutZone => fleet.platform.cut_zones([]),
+            Self::HalfFabric => fleet.spray(),
+            _ => {}
+        }
+    }
+}
+
+pub async fn chaos(plan: &Plan) -> io::Result<Report> {
+    let mut fleet = fleet(plan).await?;
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let load = load(&fleet, plan, mixes(50, 0.3));
+    let end = Instant::now() + after(plan, 0.9);
+    let mut faults = 0;
+    while Instant::now() < end {
+        let first = Chaos::ALL[rng.random_range(0..Chaos::ALL.len())];
+        // The second fault lasts while the first one runs its course.
+        let second = rng
+            .random_bool(0.5)
+            .then(|| Chaos::ALL[rng.random_range(5..Chaos::ALL.len())]);
+        if let Some(second) = second {
+            second.set(&fleet, &mut rng);
+            faults += 1;
+        }
+        faults += 1;
+        first.run(&mut fleet, &mut rng).await?;
+        if let Some(second) = second {
+            second.heal(&fleet);
+        }
+        fleet.count_violations().await;
+        sleep(Duration::from_millis(rng.random_range(200..1_000))).await;
+    }
+    let tallies = load.await??;
+    sleep(LATE + Duration::from_secs(1)).await;
+    fleet.settle().await?;
+    let mut report = Report::default();
+    judge(&mut fleet, tallies, &mut report).await;
+    report.figures = vec![("faults", figure(faults))];
+    Ok(report)
+}
--- /dev/null
+++ b/crates/standins/src/bin/tanager-bench/main.rs
@@ -0,0 +1,115 @@
+//! Runs experiments against real balancer processes and reports figures and broken promises.
+
+mod faults;
+mod fleet;
+mod forwarding;
+mod quiet;
+mod report;
+
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+use tanager_standins::program::{self, Ending, Failure};
+
+use crate::report::Report;
+
+const HELP: &str = "\
+tanager-bench: experiments against real tanager-balancer processes
+
+Usage: tanager-bench EXPERIMENT [--seed N] [--seconds S] [--json FILE]
+
+Experiments:
+  planned-changes   every balancer and many targets are replaced; views are skewed
+  balancer-kill     2 of 8 balancers are killed
+  execution         non-repeatable requests under loss, duplicates, late datagrams and kills
+  flood             10 times the capacity of one kind of work; --kind least|most
+  chaos             all faults at random, alone and two at a time
+  imbalance         the busiest target over the mean
+  control           cost of an instance without traffic; --instances N
+  forwarding        one balancer over a bare UDP relay, and the memory of held flows
+
+Options:
+  --seed N        seed of all choices; 1 by default
+  --seconds S     time of the load; 30 by default
+  --json FILE     write the result as JSON
+  --kind KIND     kind of work of the flood: least (default) or most urgent
+  --instances N   balancers of the control experiment, at most 64; 8 by default
+  --help          print this text
+  --version       print the version
+
+The program tanager-balancer is taken from the directory of this program.
+Exit codes: 0 every promise held, 1 a promise was broken or the run failed, 2 wrong arguments.
+";
+
+/// What to run.
+pub struct Plan {
+    /// Name of the experiment.
+    pub experiment: String,
+    /// Seed of all choices.
+    pub seed: u64,
+    /// Time of the load.
+    pub seconds: u64,
+    /// Where to write the result.
+    pub json: Option<String>,
+    /// Whether the flood is of the most urgent work.
+    pub most_urgent: bool,
+    /// Balancers of the control experiment.
+    pub instances: usize,
+}
+
+fn main() -> ExitCode {
+    program::run("tanager-bench", HELP, bench)
+}
+
+async fn bench(mut args: Arguments) -> Ending {
+    let experiment: String = args
+        .free_from_str()
+        .map_err(|e| Failure::Usage(e.to_string()))?;
+    if experiment == "relay" {
+        return forwarding::relay(args).await;
+    }
+    let kind: String = program::optional(&mut args, "--kind", "least".to_owned())?;
+    let plan = Plan {
+        experiment,
+        seed: program::optional(&mut args, "--seed", 1)?,
+        seconds: program::optional(&mut args, "--seconds", 30)?,
+        json: args
+            .opt_value_from_str("--json")
+            .map_err(|e| Failure::Usage(e.to_string()))?,
+        most_urgent: kind == "most",
+        instances: program::optional(&mut args, "--instances", 8)?,
+    };
+    program::finish(args)?;
+    if !(5..=3_600).contains(&plan.seconds)
+        || !(1..=64).contains(&plan.instances)
+        || !["least", "most"].contains(&kind.as_str())
+    {
+        return Err(Failure::Usage(
+            "expected --seconds 5 to 3600, --instances 1 to 64, --kind least or most".to_owned(),
+        ));
+    }
+    // A signal drops the fleet, which stops the processes that it started.
+    let report = tokio::select! {
+        report = run(&plan) => report?,
+        stopped = program::stopped() => {
+            stopped?;
+            return Err(Failure::Failed("stopped by a signal".to_owned()));
+        }
+    };
+    report.publish(&plan)
+}
+
+async fn run(plan: &Plan) -> Result<Report, Failure> {
+    let report = match plan.experiment.as_str() {
+        "planned-changes" => faults::planned_changes(plan).await,
+        "balancer-kill" => faults::balancer_kill(plan).await,
+        "execution" => faults::execution(plan).await,
+        "chaos" => faults::chaos(plan).await,
+        "flood" => quiet::flood(plan).await,
+        "imbalance" => quiet::imbalance(plan).await,
+        "control" => quiet::control(plan).await,
+        "forwarding" => forwarding::forwarding(plan).await,
+        other => return Err(Failure::Usage(format!("no experiment {other}"))),
+    };
+    report.map_err(Failure::failed)
+}
--- /dev/null
+++ b/crates/standins/src/bin/tanager-bench/quiet.rs
@@ -0,0 +1,278 @@
+//! Experiments without faults: floods, balance between targets and the cost of control.
+
+use std::io;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use tanager_core::{FastMap, RequestId};
+use tanager_standins::load::{Mix, Requests, Tally, drive};
+use tanager_standins::verdict::Truth;
+use tokio::time::sleep;
+
+use crate::Plan;
+use crate::faults::{figure, mixes, services, slow};
+use crate::fleet::Fleet;
+use crate::report::Report;
+
+/// Time for connections and lists to settle before something is measured.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Two slots and 40 ms for each request.
+const REQUESTS_PER_TARGET: u32 = 50;
+/// Clock ticks a second in `/proc/PID/stat`; fixed in the Linux interface for user programs.
+const TICKS_PER_S: f64 = 100.0;
+
+pub async fn flood(plan: &Plan) -> io::Result<Report> {
+    let mut fleet = Fleet::start(8, services(), slow, plan.seed).await?;
+    limit_to_capacity(&mut fleet);
+    sleep(SETTLE).await;
+    let (flooded, capacity) = if plan.most_urgent {
+        (1, 700.0)
+    } else {
+        (2, 200.0)
+    };
+    let half = Duration::from_secs(plan.seconds) / 2;
+    let address = fleet.fabric.address();
+    let ordinary = mixes(50, 1.0);
+    let before = drive(address, &ordinary, half).await?;
+    let (once, repeatable) = if plan.most_urgent {
+        (capacity * 10.0, 0.0)
+    } else {
+        (0.0, capacity * 10.0)
+    };
+    let flood = Mix {
+        name: "flood".to_owned(),
+        service: flooded,
+        once,
+        repeatable,
+        answer_size: 64,
+        ..Mix::default()
+    };
+    let mut mixes = ordinary;
+    mixes.push(flood);
+    let during = drive(address, &mixes, half).await?;
+    let (goodput, p99) = kept(&before, &during, flooded);
+    let served = during
+        .last()
+        .map_or(0, |t| t.once.answered + t.repeatable.answered);
+    let skipped = during
+        .last()
+        .map_or(0, |t| t.once.skipped + t.repeatable.skipped);
+    let truth = fleet
+        .truth(before.into_iter().chain(during).collect())
+        .await;
+    Ok(Report {
+        figures: vec![
+            ("kept_goodput_ratio_min", goodput),
+            ("kept_p99_ratio_max", p99),
+            (
+                "flood_served_ratio",
+                figure(served) / (capacity * half.as_secs_f64()),
+            ),
+            ("flood_skipped", figure(skipped)),
+        ],
+        baselines: Vec::new(),
+        breaches: truth.breaches(),
+    })
+}
+
+/// Limits services and owners to what their targets can serve, so that the flood meets limits
+/// that others share. Each service is guaranteed 40%, which is above its ordinary load.
+fn limit_to_capacity(fleet: &mut Fleet) {
+    for service in &mut fleet.services {
+        let targets = u32::try_from(service.targets.len()).unwrap_or(u32::MAX);
+        service.requests = targets * REQUESTS_PER_TARGET;
+        service.minimum = service.requests * 2 / 5;
+    }
+    fleet.owner_requests = Some(18 * REQUESTS_PER_TARGET);
+    fleet.publish_catalogue();
+}
+
+/// Returns the least goodput and the greatest p99 of all kinds of work but the flooded one, each
+/// relative to the same kind before the flood.
+fn kept(before: &[Tally], during: &[Tally], flooded: u32) -> (f64, f64) {
+    let (mut goodput, mut p99) = (f64::INFINITY, 0.0_f64);
+    for (old, new) in before.iter().zip(during) {
+        if old.updates > 0 {
+            goodput = goodput.min(figure(new.updates) / figure(old.updates));
+        }
+        if old.service == flooded {
+            continue;
+        }
+        for (old, new) in [(&old.once, &new.once), (&old.repeatable, &new.repeatable)] {
+            if old.answered > 0 {
+                goodput = goodput.min(share_answered(new) / share_answered(old));
+                p99 = p99.max(new.p99_ms() / old.p99_ms());
+            }
+        }
+    }
+    (goodput, p99)
+}
+
+fn share_answered(requests: &Requests) -> f64 {
+    figure(requests.answered) / figure((requests.sent + requests.skipped).max(1))
+}
+
+pub async fn imbalance(plan: &Plan) -> io::Result<Report> {
+    let mut fleet = Fleet::start(8, services(), slow, plan.seed).await?;
+    let mixes = mixes(1_400, 1.0);
+    let tallies = drive(
+        fleet.fabric.address(),
+        &mixes,
+        Duration::from_secs(plan.seconds),
+    )
+    .await?;
+    let counts: Vec<(u32, usize)> = fleet
+        .services
+        .iter()
+        .map(|s| (s.number, s.targets.len()))
+        .collect();
+    let truth = fleet.truth(tallies).await;
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let random = [0, 1].map(|kind| placed(&truth, &counts, kind, &mut |n| rng.random_range(0..n)));
+    let hashed = [0, 1].map(|kind| placed(&truth, &counts, kind, &mut hash_mod));
+    Ok(Report {
+        figures: vec![
+            (
+                "flow_max_over_mean",
+                measured(&truth, &counts, |r| r.flows_opened),
+            ),
+            (
+                "slot_max_over_mean",
+                measured(&truth, &counts, |r| r.slot_ms),
+            ),
+        ],
+        baselines: vec![
+            ("flow_random", random[0]),
+            ("slot_random", random[1]),
+            ("flow_hash_mod", hashed[0]),
+            ("slot_hash_mod", hashed[1]),
+        ],
+        breaches: truth.breaches(),
+    })
+}
+
+fn measured(
+    truth: &Truth,
+    counts: &[(u32, usize)],
+    value: impl Fn(&tanager_standins::target::Record) -> u64,
+) -> f64 {
+    let of = |service| {
+        let records = truth.records.iter().filter(move |(s, _)| *s == service);
+        max_over_mean(&records.map(|(_, r)| value(r)).collect::<Vec<_>>())
+    };
+    counts
+        .iter()
+        .map(|(service, _)| of(*service))
+        .fold(0.0, f64::max)
+}
+
+/// Places as many flows (kind 0) or requests (kind 1) of equal length as really happened.
+fn placed(
+    truth: &Truth,
+    counts: &[(u32, usize)],
+    kind: usize,
+    choose: &mut dyn FnMut(usize) -> usize,
+) -> f64 {
+    let mut worst = 0.0_f64;
+    for (service, targets) in counts {
+        let records = truth.records.iter().filter(|(s, _)| s == service);
+        let items: u64 = records
+            .map(|(_, r)| [r.flows_opened, r.requests][kind])
+            .sum();
+        let mut loads = vec![0; *targets];
+        for _ in 0..items {
+            loads[choose(*targets)] += 1;
+        }
+        worst = worst.max(max_over_mean(&loads));
+    }
+    worst
+}
+
+fn hash_mod(targets: usize) -> usize {
+    let id = RequestId::random();
+    let bytes = id.as_bytes().iter();
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |h, b| {
+        (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3)
+    });
+    usize::try_from(hash % targets as u64).unwrap_or(0)
+}
+
+fn max_over_mean(loads: &[u64]) -> f64 {
+    let sum: u64 = loads.iter().sum();
+    if sum == 0 {
+        return 0.0;
+    }
+    let max = loads.iter().copied().max().unwrap_or(0);
+    figure(max * loads.len() as u64) / figure(sum)
+}
+
+pub async fn control(plan: &Plan) -> io::Result<Report> {
+    let mut fleet = Fleet::start(plan.instances, services(), slow, plan.seed).await?;
+    sleep(SETTLE).await;
+    let start = sample(&fleet).await;
+    let time = Duration::from_secs(plan.seconds);
+    sleep(time).await;
+    let end = sample(&fleet).await;
+    // Before anything is counted the figure is unknown rather than 0.
+    let bytes = if end["bytes"] > 0.0 {
+        end["bytes"] - start["bytes"]
+    } else {
+        f64::NAN
+    };
+    let share = figure(plan.instances as u64) * time.as_secs_f64();
+    let breaches = fleet.truth(Vec::new()).await.breaches();
+    Ok(Report {
+        figures: vec![
+            ("control_bytes_per_s", bytes / share),
+            (
+                "control_core_percent",
+                (end["cpu_s"] - start["cpu_s"]) / share * 100.0,
+            ),
+            (
+                "memory_mb",
+                end["memory_mb"] / figure(plan.instances as u64),
+            ),
+            (
+                "platform_calls_per_s",
+                (end["calls"] - start["calls"]) / share,
+            ),
+        ],
+        baselines: Vec::new(),
+        breaches,
+    })
+}
+
+/// Sums over all instances.
+async fn sample(fleet: &Fleet) -> FastMap<&'static str, f64> {
+    let mut sums: FastMap<&'static str, f64> = FastMap::default();
+    sums.insert("calls", figure(fleet.platform.calls()));
+    for (index, balancer) in fleet.balancers.iter().enumerate() {
+        let status = fleet.status(index).await.unwrap_or_default();
+        for counter in ["control_sent_bytes", "control_received_bytes"] {
+            *sums.entry("bytes").or_default() +=
+                status["counters"][counter].as_f64().unwrap_or(0.0);
+        }
+        *sums.entry("cpu_s").or_default() += processor_seconds(balancer.pid()).unwrap_or(0.0);
+        *sums.entry("memory_mb").or_default() +=
+            resident_bytes(balancer.pid()).unwrap_or(0.0) / 1e6;
+    }
+    sums
+}
+
+fn processor_seconds(pid: u32) -> Option<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name in parentheses may contain spaces; user and system time are fields 14 and 15.
+    let mut fields = text.rsplit_once(')')?.1.split_whitespace().skip(11);
+    let user: f64 = fields.next()?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    Some((user + system) / TICKS_PER_S)
+}
+
+/// Returns the resident memory of a process.
+pub fn resident_bytes(pid: u32) -> Option<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let kilobytes: f64 = line.split_whitespace().next()?.parse().ok()?;
+    Some(kilobytes * 1_024.0)
+}
--- /dev/null
+++ b/crates/standins/src/bin/tanager-bench/report.rs
@@ -0,0 +1,88 @@
+//! The table and the JSON document of a run.
+
+use serde_json::{Map, Value, json};
+use tanager_standins::program::{Ending, Failure};
+
+use crate::Plan;
+
+/// What an experiment found.
+#[derive(Default)]
+pub struct Report {
+    pub figures: Vec<(&'static str, f64)>,
+    pub baselines: Vec<(&'static str, f64)>,
+    pub breaches: Vec<String>,
+}
+
+/// A goal of section 1.4 of the design: the figure may be at most, or at least, the bound.
+enum Goal {
+    Most(f64),
+    Least(f64),
+}
+
+fn goal(experiment: &str, figure: &str) -> Option<Goal> {
+    Some(match (experiment, figure) {
+        (_, "feeds_broken" | "ran_twice" | "ran_after_not_run" | "wrong_service") => {
+            Goal::Most(0.0)
+        }
+        (_, "requests_lost" | "new_work_after_leave") => Goal::Most(0.0),
+        (_, "longest_gap_ms") => Goal::Most(2_000.0),
+        (_, "flow_max_over_mean" | "slot_max_over_mean") => Goal::Most(1.1),
+        (_, "kept_goodput_ratio_min") => Goal::Least(0.95),
+        (_, "kept_p99_ratio_max") => Goal::Most(2.0),
+        (_, "control_bytes_per_s") => Goal::Most(8_192.0),
+        (_, "control_core_percent") => Goal::Most(4.2),
+        (_, "memory_mb") => Goal::Most(128.0),
+        (_, "platform_calls_per_s") => Goal::Most(100.0 / 670.0),
+        (_, "forward_ratio") => Goal::Least(0.7),
+        (_, "bytes_per_held_flow") => Goal::Most(200.0),
+        _ => return None,
+    })
+}
+
+impl Report {
+    /// Prints the table and writes the JSON document.
+    pub fn publish(&self, plan: &Plan) -> Ending {
+        println!(
+            "experiment {}, seed {}, {} s",
+            plan.experiment, plan.seed, plan.seconds
+        );
+        for (name, value) in &self.figures {
+            let verdict = match goal(&plan.experiment, name) {
+                _ if value.is_nan() => "not measured".to_owned(),
+                Some(Goal::Most(bound)) => verdict(*value <= bound, "at most", bound),
+                Some(Goal::Least(bound)) => verdict(*value >= bound, "at least", bound),
+                None => String::new(),
+            };
+            println!("  {name:<28} {value:>14.3}  {verdict}");
+        }
+        for (name, value) in &self.baselines {
+            println!("  baseline {name:<19} {value:>14.3}");
+        }
+        for breach in &self.breaches {
+            println!("  BREACH: {breach}");
+        }
+        let document = json!({ "experiment": plan.experiment, "seed": plan.seed,
+            "seconds": plan.seconds, "figures": object(&self.figures),
+            "breaches": self.breaches, "baselines": object(&self.baselines) });
+        if let Some(path) = &plan.json {
+            std::fs::write(path, format!("{document:#}\n")).map_err(Failure::failed)?;
+        }
+        if self.breaches.is_empty() {
+            Ok(())
+        } else {
+            Err(Failure::Breached)
+        }
+    }
+}
+
+fn verdict(met: bool, relation: &str, bound: f64) -> String {
+    let word = if met { "met" } else { "MISSED" };
+    format!("{word} (goal: {relation} {bound:.3})")
+}
+
+fn object(figures: &[(&str, f64)]) -> Value {
+    let pairs = figures
+        .iter()
+        .map(|(name, value)| ((*name).to_owned(), json!(value)));
+    Value::Object(pairs.collect::<Map<_, _>>())
+}
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -17,6 +17,9 @@
 
 /// Time between repeated opens and requests that got no reply.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time between repeated requests; the time doubles from [`REPEAT_INTERVAL`], so that
+/// callers of an overloaded service do not multiply the load.
+const REPEAT_LIMIT: Duration = Duration::from_millis(1_600);
 /// Time between keepalives.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// A feed that heard nothing for this long counts as broken.
@@ -171,10 +174,10 @@
         let end = Instant::now() + budget + ANSWER_MARGIN;
         let mut assembly: Option<Assembly> = None;
         let mut last = NO_REPLY;
-        let mut asked = Instant::now();
+        let (mut asked, mut interval) = (Instant::now(), REPEAT_INTERVAL);
         self.send(DatagramBody::Request(request.clone())).await;
         while Instant::now() < end {
-            let wake = end.min(asked + REPEAT_INTERVAL);
+            let wake = end.min(asked + interval);
             match timeout_at(wake, inbox.receiver.recv()).await {
                 Ok(Some(DatagramBody::Answer(fragment))) => {
                     if assembly.is_none() {
@@ -197,6 +200,7 @@
                 Ok(None) => break,
                 Err(_) => {
                     asked = Instant::now();
+                    interval = (interval * 2).min(REPEAT_LIMIT);
                     self.send(DatagramBody::Request(request.clone())).await;
                 }
             }
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -11,8 +11,6 @@
 
 use crate::target::Shared;
 
-/// A feed without a keepalive for this long is ended.
-const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// Updates that a target can send again.
 const HISTORY: u64 = 1_000;
 /// Updates sent again for one keepalive.
@@ -190,7 +188,7 @@
                 .get(&feed.connection)
                 .or_else(|| connections.values().next());
             let Some(sender) = sender else { return true };
-            if now.since(feed.heard) > IDLE_LIMIT {
+            if now.since(feed.heard) > shared.options.idle_limit {
                 let (flow, route) = (*flow, feed.route.clone());
                 let code = ResultCode::FlowSilent;
                 let _ = sender.send(FromTarget::FlowReset { flow, route, code });
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -20,6 +20,9 @@
 const BUDGET: Duration = Duration::from_secs(3);
 /// Requests of one mix that wait at the same time; further ones are counted as skipped.
 const WAITING_LIMIT: usize = 20_000;
+/// Without an outcome for this long, later requests use another executor. The waiting request
+/// stays with its own.
+const PATIENCE: Duration = Duration::from_millis(700);
 /// Sockets that the requests of one mix share.
 const CALLERS: usize = 8;
 
@@ -271,18 +274,32 @@
     /// Runs a new request; `None` if no session opened, so that nothing was sent.
     async fn execute(&self, id: RequestId, body: Bytes) -> Option<Outcome> {
         let (number, session) = self.session().await?;
-        let outcome = self.caller.execute(&session, id, body, BUDGET).await;
+        let execute = self.caller.execute(&session, id, body, BUDGET);
+        tokio::pin!(execute);
+        let early = tokio::time::timeout(PATIENCE, &mut execute).await;
+        if early.is_err() {
+            self.end_session(number).await;
+        }
+        let outcome = match early {
+            Ok(outcome) => outcome,
+            Err(_) => execute.await,
+        };
         if let Outcome::Refused(code, _) = outcome
             && is_executor_gone(code)
         {
-            let mut current = self.session.lock().await;
-            if current.as_ref().is_some_and(|(n, _)| *n == number) {
-                *current = None;
-            }
+            self.end_session(number).await;
         }
         Some(outcome)
     }
 
+    /// Makes later requests open a new session.
+    async fn end_session(&self, number: u64) {
+        let mut current = self.session.lock().await;
+        if current.as_ref().is_some_and(|(n, _)| *n == number) {
+            *current = None;
+        }
+    }
+
     async fn session(&self) -> Option<(u64, Session)> {
         let mut current = self.session.lock().await;
         if current.is_none() {
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -47,6 +47,8 @@
     pub feed_interval: Duration,
     /// Time after the start during which requests take five times as long.
     pub cold_start: Duration,
+    /// A feed without a keepalive for this long is ended.
+    pub idle_limit: Duration,
     /// Whether it always reports no load.
     pub misleading: bool,
 }
@@ -67,6 +69,7 @@
             answer_size: 64,
             feed_interval: Duration::from_millis(500),
             cold_start: Duration::ZERO,
+            idle_limit: Duration::from_secs(5),
             misleading: false,
         }
     }
