Add tanagerctl with status, usage, explain and check

Cause: operators had no tool to observe a fleet or to check a document before publishing. Change: a dashboard over any number of instances, usage by owner and service, decisions of a flow or request, and a check that lists every problem with its number through miette. Pages are read leniently, so that instances of several versions can be shown together. Ruled out: the page types of the library for reading; they refuse other versions.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,181 @@
-//! Placeholder.
-fn main() {}
+//! The operator tool: reads the pages of instances and checks documents before they are published.
+
+mod check;
+mod dashboard;
+mod error;
+mod explain;
+mod pages;
+mod usage;
+
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use pico_args::Arguments;
+
+use crate::error::Result;
+use crate::explain::Question;
+
+const HELP: &str = "\
+tanagerctl: operator tool of tanagerproxy
+
+Usage: tanagerctl status [--json] ADDRESS...
+       tanagerctl usage [--json] ADDRESS...
+       tanagerctl explain (--flow ID | --request ID | --last) [--json] ADDRESS...
+       tanagerctl check (--settings FILE | --catalogue FILE)
+
+ADDRESS is the status address of an instance; give all of them to see the whole fleet.
+
+Commands:
+  status    revision in force, owners' use, limits, sheds and feeds of each instance
+  usage     usage by owner as the instances know it, and by service summed over the instances
+  explain   routing and placement decisions, newest first
+  check     report every problem of a document without publishing it
+
+Options:
+  --json       print JSON
+  --help       print this text
+  --version    print the version
+
+Exit codes: 0 done, 1 an instance could not be read or a document has problems,
+2 wrong arguments.
+";
+
+/// What the command line asks for.
+#[derive(Debug, PartialEq, Eq)]
+enum Command {
+    Help,
+    Version,
+    Status(Instances),
+    Usage(Instances),
+    Explain(Question, Instances),
+    Check(check::Kind, String),
+}
+
+/// The instances to ask and the form of the output.
+#[derive(Debug, PartialEq, Eq)]
+struct Instances {
+    addresses: Vec<SocketAddr>,
+    json: bool,
+}
+
+fn main() -> ExitCode {
+    let command = match read_command(Arguments::from_env()) {
+        Ok(command) => command,
+        Err(message) => {
+            eprintln!("{message}\n\n{HELP}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_command(mut args: Arguments) -> std::result::Result<Command, String> {
+    if args.contains("--help") {
+        return Ok(Command::Help);
+    }
+    if args.contains("--version") {
+        return Ok(Command::Version);
+    }
+    let name = args.subcommand().map_err(|e| e.to_string())?;
+    match name.as_deref() {
+        Some("status") => Ok(Command::Status(read_instances(args)?)),
+        Some("usage") => Ok(Command::Usage(read_instances(args)?)),
+        Some("explain") => {
+            let question = read_question(&mut args)?;
+            Ok(Command::Explain(question, read_instances(args)?))
+        }
+        Some("check") => read_check(args),
+        Some(other) => Err(format!("unknown command {other}")),
+        None => Err("a command is missing".to_owned()),
+    }
+}
+
+fn read_instances(mut args: Arguments) -> std::result::Result<Instances, String> {
+    let json = args.contains("--json");
+    let mut addresses = Vec::new();
+    for text in args.finish() {
+        let text = text.to_string_lossy();
+        let address = text.parse();
+        addresses.push(address.map_err(|_| format!("{text} is not an address and port"))?);
+    }
+    if addresses.is_empty() {
+        return Err("an address is missing".to_owned());
+    }
+    Ok(Instances { addresses, json })
+}
+
+fn read_question(args: &mut Arguments) -> std::result::Result<Question, String> {
+    let flow = args.opt_value_from_str("--flow");
+    let flow = flow.map_err(|e| e.to_string())?.map(Question::Flow);
+    let request = args.opt_value_from_str("--request");
+    let request = request.map_err(|e| e.to_string())?.map(Question::Request);
+    let last = args.contains("--last").then_some(Question::Last);
+    match [flow, request, last]
+        .into_iter()
+        .flatten()
+        .collect::<Vec<_>>()[..]
+    {
+        [question] => Ok(question),
+        _ => Err("expected one of --flow, --request and --last".to_owned()),
+    }
+}
+
+fn read_check(mut args: Arguments) -> std::result::Result<Command, String> {
+    let settings: Option<String> = args
+        .opt_value_from_str("--settings")
+        .map_err(|e| e.to_string())?;
+    let catalogue = args
+        .opt_value_from_str("--catalogue")
+        .map_err(|e| e.to_string())?;
+    let rest = args.finish();
+    if !rest.is_empty() {
+        return Err(format!("unexpected arguments: {rest:?}"));
+    }
+    match (settings, catalogue) {
+        (Some(path), None) => Ok(Command::Check(check::Kind::Settings, path)),
+        (None, Some(path)) => Ok(Command::Check(check::Kind::Catalogue, path)),
+        _ => Err("expected one of --settings and --catalogue".to_owned()),
+    }
+}
+
+/// Runs a command. Returns false if some instances could not be read; they were named already.
+#[tokio::main(flavor = "current_thread")]
+async fn run(command: Command) -> Result<bool> {
+    match command {
+        Command::Help => print!("{HELP}"),
+        Command::Version => println!("tanagerctl {}", env!("CARGO_PKG_VERSION")),
+        Command::Status(instances) => {
+            let read = pages::read_all(&instances.addresses, "/status").await?;
+            print!("{}", output(&read.pages, instances.json, dashboard::render));
+            return Ok(read.complete);
+        }
+        Command::Usage(instances) => {
+            let read = pages::read_all(&instances.addresses, "/usage").await?;
+            print!("{}", output(&read.pages, instances.json, usage::render));
+            return Ok(read.complete);
+        }
+        Command::Explain(question, instances) => {
+            return explain::run(question, &instances).await;
+        }
+        Command::Check(kind, path) => println!("{}", check::run(kind, &path)?),
+    }
+    Ok(true)
+}
+
+fn output(pages: &[pages::Page], json: bool, render: fn(&[pages::Page]) -> String) -> String {
+    if json {
+        pages::to_json(pages)
+    } else {
+        render(pages)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/pages.rs
@@ -0,0 +1,111 @@
+//! Reads JSON pages of instances. Fields are read leniently, so that one tool serves a fleet in
+//! which instances of several versions run.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tanager_core::ResultCode;
+
+use crate::error::{Error, Result};
+
+/// Longest wait for one instance.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A page of one instance.
+#[derive(Debug)]
+pub struct Page {
+    pub address: SocketAddr,
+    pub body: Value,
+}
+
+/// The pages that could be read.
+pub struct Read {
+    pub pages: Vec<Page>,
+    /// Whether every instance answered.
+    pub complete: bool,
+}
+
+/// Reads a page of all instances at the same time and names those that do not answer.
+pub async fn read_all(addresses: &[SocketAddr], path: &str) -> Result<Read> {
+    let tasks: Vec<_> = addresses
+        .iter()
+        .map(|address| {
+            let (address, path) = (*address, path.to_owned());
+            tokio::spawn(async move { (address, read(address, &path).await) })
+        })
+        .collect();
+    let mut pages = Vec::new();
+    for task in tasks {
+        match task.await {
+            Ok((address, Ok(body))) => pages.push(Page { address, body }),
+            Ok((address, Err(cause))) => {
+                let code = ResultCode::PeerUnreachable;
+                eprintln!("{code}: instance at {address}: {cause}");
+            }
+            Err(_) => {}
+        }
+    }
+    if pages.is_empty() {
+        let addresses = addresses.to_vec();
+        return Err(Error::Unreachable { addresses });
+    }
+    let complete = pages.len() == addresses.len();
+    Ok(Read { pages, complete })
+}
+
+/// Reads one page. An instance that keeps no decision about an id answers with status 404.
+async fn read(address: SocketAddr, path: &str) -> std::result::Result<Value, String> {
+    let client = reqwest::Client::builder()
+        .timeout(TIMEOUT)
+        .no_proxy()
+        .build();
+    let url = format!("http://{address}{path}");
+    let client = client.map_err(|e| e.to_string())?;
+    let response = client.get(url).send().await.map_err(|e| cause(&e))?;
+    match response.status().as_u16() {
+        200 => response.json().await.map_err(|e| cause(&e)),
+        404 if path.starts_with("/explain") => Ok(json!([])),
+        status => Err(format!("status {status}")),
+    }
+}
+
+/// Returns the innermost cause; the outer ones only repeat the address.
+fn cause(error: &dyn std::error::Error) -> String {
+    let mut inner = error;
+    while let Some(source) = inner.source() {
+        inner = source;
+    }
+    inner.to_string()
+}
+
+/// Returns the pages as one JSON array.
+pub fn to_json(pages: &[Page]) -> String {
+    let list = pages
+        .iter()
+        .map(|p| json!({ "address": p.address, "page": p.body }));
+    format!("{:#}\n", Value::Array(list.collect()))
+}
+
+/// Returns a number of a page; 0 if it is missing.
+pub fn number(value: &Value, key: &str) -> u64 {
+    value[key].as_u64().unwrap_or(0)
+}
+
+/// Returns a text of a page; `-` if it is missing.
+pub fn text<'a>(value: &'a Value, key: &str) -> &'a str {
+    value[key].as_str().unwrap_or("-")
+}
+
+/// Returns named rows, given as an object or as a list of pairs.
+pub fn rows(value: &Value) -> Vec<(String, &Value)> {
+    let pair = |row: &'_ Value| Some((row.get(0)?.as_str()?.to_owned(), ()));
+    match value {
+        Value::Object(map) => map.iter().map(|(k, v)| (k.clone(), v)).collect(),
+        Value::Array(list) => list
+            .iter()
+            .filter_map(|row| Some((pair(row)?.0, row.get(1)?)))
+            .collect(),
+        _ => Vec::new(),
+    }
+}
