Make an instance ready only with the newest catalogue of its seeds

Cause: the survey at start fetched from one seed only, and the fleet test could not tell a survey from none, because peers answered as fast as a stale platform. /usage searched the instance list once for every row. Change: the survey tries every seed that answered, newest first; in the test of a stale platform the starting instance's connections take 120 ms; member names are collected once for a page. Tests for the bound of the usage table and for faulty instance lists.

--- a/crates/proxy/src/membership/gossip.rs
+++ b/crates/proxy/src/membership/gossip.rs
@@ -72,13 +72,14 @@
         seeds.shuffle(&mut rand::rng());
         seeds.truncate(SEEDS);
         let asked = async {
-            let mut newest: Option<(Revision, SocketAddr)> = None;
+            let mut offers = Vec::new();
             let mut calls = self.exchange_with(&seeds, false);
             while let Some(reply) = calls.join_next().await {
-                let offer = reply.ok().flatten().map(|h| (h.revision, h.address));
-                newest = newest.max(offer);
+                offers.extend(reply.ok().flatten().map(|h| (h.revision, h.address)));
             }
-            if let Some((revision, address)) = newest {
+            // If the newest cannot be fetched from one seed, another may have it.
+            offers.sort_unstable();
+            for (revision, address) in offers.into_iter().rev() {
                 self.pull(revision, address).await;
             }
         };
--- a/crates/proxy/src/membership/heard.rs
+++ b/crates/proxy/src/membership/heard.rs
@@ -104,10 +104,6 @@
     pub(super) fn incarnation(&self, name: &InstanceName) -> Option<Incarnation> {
         self.records.get(name).map(|r| r.incarnation)
     }
-
-    pub(super) fn is_fresh(&self, name: &InstanceName, now: Millis) -> bool {
-        self.records.get(name).is_some_and(|r| is_fresh(r, now))
-    }
 }
 
 impl Record {
--- a/crates/proxy/src/membership/tests.rs
+++ b/crates/proxy/src/membership/tests.rs
@@ -1,11 +1,11 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
-use tanager_core::{Incarnation, Revision};
+use tanager_core::{Incarnation, ResultCode, Revision};
 
-use crate::Identity;
 use crate::membership::{InstanceState, MEMBERS_LIMIT, Member, Membership};
 use crate::peer::Heartbeat;
+use crate::{Error, Identity};
 
 fn address(number: u64) -> SocketAddr {
     let port = 7_000 + u16::try_from(number).expect("port");
@@ -127,3 +127,26 @@
 
     assert_eq!(membership.members().len(), MEMBERS_LIMIT);
 }
+
+/// Guards against a faulty list taking instances away, or naming only its first fault.
+#[test]
+fn faulty_list_is_refused_with_all_problems() {
+    let membership = membership();
+    membership.offer_list(&list(1, 0..3)).expect("list");
+    let faulty = list(2, 0..2)
+        .replace("7001", "7000")
+        .replacen("live", "gone", 1);
+
+    let error = membership.offer_list(&faulty).expect_err("faulty");
+
+    let Error::Document { problems, .. } = error else {
+        panic!("unexpected {error}")
+    };
+    let lines: Vec<_> = problems.iter().map(|p| (p.code, p.line)).collect();
+    let expected = [
+        (ResultCode::ValueMalformed, Some(3)),
+        (ResultCode::DocumentDuplicate, Some(4)),
+    ];
+    assert_eq!(lines, expected);
+    assert_eq!(membership.list().instances.len(), 3);
+}
--- a/crates/proxy/src/membership/view.rs
+++ b/crates/proxy/src/membership/view.rs
@@ -147,15 +147,6 @@
         self.heard().incarnation(name)
     }
 
-    /// Returns whether an instance is published or was heard from within some seconds.
-    #[must_use]
-    pub fn is_member(&self, name: &InstanceName) -> bool {
-        let list = self.list.load();
-        *name == self.identity.name
-            || list.instances.iter().any(|i| i.name == *name)
-            || self.heard().is_fresh(name, self.clock.now())
-    }
-
     /// Returns the number of other instances that were heard from within some seconds.
     #[must_use]
     pub fn heard_count(&self) -> usize {
--- a/crates/proxy/src/status/page.rs
+++ b/crates/proxy/src/status/page.rs
@@ -1,5 +1,6 @@
 use serde::Serialize;
 use serde_json::Value;
+use tanager_core::{FastSet, InstanceName};
 
 use crate::Node;
 use crate::usage::{FleetUsage, ServiceUsage, UsageRow};
@@ -121,9 +122,12 @@
     #[must_use]
     pub fn collect(node: &Node, rows: bool) -> Self {
         let membership = &node.membership;
+        let mut members: FastSet<InstanceName> =
+            membership.others().into_iter().map(|i| i.name).collect();
+        members.insert(membership.identity().name.clone());
         let fleet = node.usage.fleet(|name, incarnation| {
             let current = membership.incarnation(name);
-            membership.is_member(name) && current.is_none_or(|c| c == incarnation)
+            members.contains(name) && current.is_none_or(|c| c == incarnation)
         });
         Self {
             instance: membership.identity().name.to_string(),
--- a/crates/proxy/src/usage/tests.rs
+++ b/crates/proxy/src/usage/tests.rs
@@ -132,3 +132,19 @@
 
     assert!(table.is_empty());
 }
+
+/// Guards against restarts filling the memory: the rows that were counted longest ago go first.
+#[test]
+fn table_is_bounded() {
+    let mut table = Rows::default();
+    let old = UsageRow {
+        age_ms: 1_000,
+        ..row(1, 0, 5)
+    };
+    table.merge(&old, NOW);
+
+    (2..=17_000).for_each(|i| table.merge(&row(i, 0, i), NOW));
+
+    assert_eq!(table.len(), 16_384);
+    assert!(table.list(NOW).iter().all(|r| r.key != old.key));
+}
--- a/crates/standins/tests/catalogue.rs
+++ b/crates/standins/tests/catalogue.rs
@@ -1,6 +1,9 @@
 //! Catalogue changes and usage across a fleet, with the platform down, stale or cut off.
 
 use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +15,7 @@
 use tanager_standins::platform::Fault;
 use tanager_standins::settings::catalogue;
 use tanagerproxy::Node;
-use tanagerproxy::peer::TcpNetwork;
+use tanagerproxy::peer::{Network, PeerStream, TcpNetwork};
 use tokio::time::{Instant, sleep};
 
 /// Goal for an accepted change to be in force everywhere.
@@ -115,6 +118,21 @@
     assert_eq!(node.revision().get(), 2);
 }
 
+/// A network whose connections take a time, so that the platform answers before any peer.
+struct SlowNetwork;
+
+impl Network for SlowNetwork {
+    fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = io::Result<Box<dyn PeerStream>>> + Send>> {
+        Box::pin(async move {
+            sleep(Duration::from_millis(120)).await;
+            TcpNetwork.connect(address).await
+        })
+    }
+}
+
 /// Guards against a service restored from old data taking changes back, also from an instance
 /// that starts then and is ready with the old data.
 #[tokio::test(flavor = "multi_thread")]
@@ -126,8 +144,10 @@
     fleet.platform.publish_catalogue(&old);
     fleet.platform.set_fault(Fault::Stale);
 
-    let network = Arc::new(TcpNetwork);
-    fleet.add_node("a", network).await.expect("node");
+    fleet
+        .add_node("a", Arc::new(SlowNetwork))
+        .await
+        .expect("node");
     let added = Arc::clone(&fleet.nodes[4].node);
     let mut lowest = u64::MAX;
     let reverted = within(Duration::from_secs(5), || {
