Prove the choice of peers and the announcement of new revisions

Cause: nothing would fail if announcements stopped or rounds ignored availability zones, since later rounds hide both in a small fleet. Ruled out: a time bound on a fleet's spread (too close to the time of two rounds to give the same verdict on a busy machine). Change: tests of one instance against recording peers without rounds. announce gets its receiver before its task starts, so that no revision is missed in between.

--- a/crates/proxy/src/membership/gossip.rs
+++ b/crates/proxy/src/membership/gossip.rs
@@ -9,6 +9,7 @@
 use tanager_core::Revision;
 use tarpc::tokio_serde::Serializer;
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -71,7 +72,8 @@
     pub fn start(self: &Arc<Self>, seeds: Vec<SocketAddr>) {
         tokio::spawn(Arc::clone(self).survey(seeds));
         tokio::spawn(Arc::clone(self).run());
-        tokio::spawn(Arc::clone(self).announce());
+        let revisions = self.catalogue.subscribe();
+        tokio::spawn(Arc::clone(self).announce(revisions));
     }
 
     /// Asks the seeds for what they know, for at most 4 s.
@@ -112,8 +114,7 @@
     }
 
     /// Tells peers about every newly accepted catalogue at once.
-    async fn announce(self: Arc<Self>) {
-        let mut revisions = self.catalogue.subscribe();
+    pub(super) async fn announce(self: Arc<Self>, mut revisions: watch::Receiver<Revision>) {
         while revisions.changed().await.is_ok() {
             revisions.borrow_and_update();
             let mut others = addresses(self.membership.others());
@@ -237,7 +238,7 @@
 
     /// Chooses peers for a round: 2 of the own availability zone and 1 of another, or 3 of
     /// whichever there are.
-    fn choose(&self) -> Vec<SocketAddr> {
+    pub(super) fn choose(&self) -> Vec<SocketAddr> {
         let zone = &self.membership.identity().zone;
         let mut others = self.membership.others();
         others.shuffle(&mut rand::rng());
--- a/crates/proxy/src/membership/mod.rs
+++ b/crates/proxy/src/membership/mod.rs
@@ -10,5 +10,7 @@
 pub use list::{InstanceList, InstanceState, ListedInstance};
 pub use view::Membership;
 
+#[cfg(test)]
+mod gossip_tests;
 #[cfg(test)]
 mod tests;
