--- a/crates/proxy/src/catalogue/document.rs
+++ b/crates/proxy/src/catalogue/document.rs
@@ -130,7 +130,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Document`] with every problem found.
+    /// Returns [`crate::Error::Document`] with every problem found.
     pub fn read(text: &str) -> Result<Self> {
         let mut catalogue = Checker::open(text, DOCUMENT, check_catalogue)?;
         text.clone_into(&mut catalogue.text);
