--- a/crates/proxy/src/membership/gossip.rs
+++ b/crates/proxy/src/membership/gossip.rs
@@ -9,6 +9,7 @@
 use tanager_core::Revision;
 use tarpc::tokio_serde::Serializer;
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -24,8 +25,10 @@
 const OWN_ZONE: usize = 2;
 /// Peers in a round. With the replies this bounds heartbeats to about 12 a second.
 const FANOUT: usize = 3;
-/// Peers told at once about a new catalogue.
+/// Peers told at once about a new catalogue or an instance that leaves.
 const ANNOUNCE: usize = 4;
+/// Shortest time between announcements of leaving instances.
+const DEPARTURE_PAUSE: Duration = Duration::from_millis(200);
 /// Seeds asked at start.
 const SEEDS: usize = 8;
 /// Longest time at start before an instance serves with what it has.
@@ -67,18 +70,28 @@
         self.surveyed.load(Ordering::Acquire)
     }
 
+    /// Starts all tasks.
+    pub fn start(self: &Arc<Self>, seeds: Vec<SocketAddr>) {
+        tokio::spawn(Arc::clone(self).survey(seeds));
+        tokio::spawn(Arc::clone(self).run());
+        tokio::spawn(Arc::clone(self).announce_departures());
+        let revisions = self.catalogue.subscribe();
+        tokio::spawn(Arc::clone(self).announce(revisions));
+    }
+
     /// Asks the seeds for what they know, for at most 4 s.
-    pub async fn survey(self: Arc<Self>, mut seeds: Vec<SocketAddr>) {
+    async fn survey(self: Arc<Self>, mut seeds: Vec<SocketAddr>) {
         seeds.shuffle(&mut rand::rng());
         seeds.truncate(SEEDS);
         let asked = async {
-            let mut newest: Option<(Revision, SocketAddr)> = None;
+            let mut offers = Vec::new();
             let mut calls = self.exchange_with(&seeds, false);
             while let Some(reply) = calls.join_next().await {
-                let offer = reply.ok().flatten().map(|h| (h.revision, h.address));
-                newest = newest.max(offer);
+                offers.extend(reply.ok().flatten().map(|h| (h.revision, h.address)));
             }
-            if let Some((revision, address)) = newest {
+            // If the newest cannot be fetched from one seed, another may have it.
+            offers.sort_unstable();
+            for (revision, address) in offers.into_iter().rev() {
                 self.pull(revision, address).await;
             }
         };
@@ -87,7 +100,7 @@
     }
 
     /// Runs a round of exchanges every second for as long as the process lives.
-    pub async fn run(self: Arc<Self>) {
+    async fn run(self: Arc<Self>) {
         let mut next = Instant::now();
         loop {
             // Jitter keeps instances that were started together from calling in step.
@@ -103,18 +116,32 @@
         }
     }
 
-    /// Tells peers about every newly accepted catalogue at once.
-    pub async fn announce(self: Arc<Self>) {
-        let mut revisions = self.catalogue.subscribe();
+    /// Tells peers at once about every newly accepted catalogue.
+    pub(super) async fn announce(self: Arc<Self>, mut revisions: watch::Receiver<Revision>) {
         while revisions.changed().await.is_ok() {
             revisions.borrow_and_update();
-            let mut others = addresses(self.membership.others());
-            others.shuffle(&mut rand::rng());
-            others.truncate(ANNOUNCE);
-            self.exchange_with(&others, false).detach_all();
+            self.tell_some();
         }
     }
 
+    /// Tells peers at once about every instance that is found to be leaving. Each instance passes
+    /// it on once, so that it is known everywhere within a few steps.
+    async fn announce_departures(self: Arc<Self>) {
+        loop {
+            self.membership.departure().await;
+            self.tell_some();
+            // Some departures at the same time are told together.
+            sleep(DEPARTURE_PAUSE).await;
+        }
+    }
+
+    fn tell_some(self: &Arc<Self>) {
+        let mut others = addresses(self.membership.others());
+        others.shuffle(&mut rand::rng());
+        others.truncate(ANNOUNCE);
+        self.exchange_with(&others, false).detach_all();
+    }
+
     /// Takes a peer's heartbeat and returns the own one.
     pub fn answer(self: &Arc<Self>, heartbeat: &Heartbeat) -> Heartbeat {
         self.received(heartbeat, CALL_BYTES);
@@ -229,7 +256,7 @@
 
     /// Chooses peers for a round: 2 of the own availability zone and 1 of another, or 3 of
     /// whichever there are.
-    fn choose(&self) -> Vec<SocketAddr> {
+    pub(super) fn choose(&self) -> Vec<SocketAddr> {
         let zone = &self.membership.identity().zone;
         let mut others = self.membership.others();
         others.shuffle(&mut rand::rng());
--- a/crates/standins/tests/catalogue.rs
+++ b/crates/standins/tests/catalogue.rs
@@ -1,6 +1,9 @@
 //! Catalogue changes and usage across a fleet, with the platform down, stale or cut off.
 
 use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,11 +15,13 @@
 use tanager_standins::platform::Fault;
 use tanager_standins::settings::catalogue;
 use tanagerproxy::Node;
-use tanagerproxy::peer::TcpNetwork;
+use tanagerproxy::peer::{Network, PeerStream, TcpNetwork};
 use tokio::time::{Instant, sleep};
 
 /// Goal for an accepted change to be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(6);
+/// Goal for the last new work of something that leaves.
+const LEAVING_KNOWN: Duration = Duration::from_secs(3);
 /// Usage of the last 2 s may be lost with a killed instance.
 const LOSS: Duration = Duration::from_secs(2);
 /// Longest wait for totals to agree; it bounds the test, not a goal.
@@ -115,6 +120,21 @@
     assert_eq!(node.revision().get(), 2);
 }
 
+/// A network whose connections take a time, so that the platform answers before any peer.
+struct SlowNetwork;
+
+impl Network for SlowNetwork {
+    fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = io::Result<Box<dyn PeerStream>>> + Send>> {
+        Box::pin(async move {
+            sleep(Duration::from_millis(120)).await;
+            TcpNetwork.connect(address).await
+        })
+    }
+}
+
 /// Guards against a service restored from old data taking changes back, also from an instance
 /// that starts then and is ready with the old data.
 #[tokio::test(flavor = "multi_thread")]
@@ -126,8 +146,10 @@
     fleet.platform.publish_catalogue(&old);
     fleet.platform.set_fault(Fault::Stale);
 
-    let network = Arc::new(TcpNetwork);
-    fleet.add_node("a", network).await.expect("node");
+    fleet
+        .add_node("a", Arc::new(SlowNetwork))
+        .await
+        .expect("node");
     let added = Arc::clone(&fleet.nodes[4].node);
     let mut lowest = u64::MAX;
     let reverted = within(Duration::from_secs(5), || {
@@ -216,6 +238,27 @@
     assert!(during && after, "{:?}", revisions(&fleet));
 }
 
+/// Guards against work sent to an instance that stops before the published list says so.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_is_known_everywhere_before_it_is_listed() {
+    let fleet = fleet(8).await;
+
+    let left = fleet.nodes[3].leave().expect("running");
+    let mut known = BTreeSet::new();
+    let end = Instant::now() + LEAVING_KNOWN;
+    while known.len() < 7 && Instant::now() < end {
+        for node in fleet.running() {
+            if page(node, "/status").await["instances_leaving"] == 1 {
+                known.insert(node.peer_address());
+            }
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    assert_eq!(known.len(), 7, "{known:?}");
+    left.await.expect("stopped");
+}
+
 async fn fetch_some(fleet: &Fleet, service: u32, count: usize) -> u64 {
     let caller = Caller::start(fleet.fabric.address(), service)
         .await
