--- a/crates/proxy/src/admission/control.rs
+++ b/crates/proxy/src/admission/control.rs
@@ -129,16 +129,16 @@
 
     fn gate(&self, entry: &Entry, instances: usize) -> Arc<Gate> {
         let slots: u32 = active(entry).map(|t| t.slots).sum();
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        let part = f64::from(slots) / f64::from(instances.max(1));
         let most = (f64::from(slots) * MOST_SHARE).max(START_MINIMUM);
         let mut gates = lock(&self.gates);
         let gate = gates.entry(entry.service).or_insert_with(|| {
-            let instances = u32::try_from(instances).unwrap_or(u32::MAX);
-            let part = f64::from(slots) / f64::from(instances.max(1));
             let start = (part * START_SHARE).max(START_MINIMUM);
-            let limiter = Limiter::new(start, most, self.clock.now());
+            let limiter = Limiter::new(start, (part, most), self.clock.now());
             Arc::new(Gate::new(self.clock, limiter))
         });
-        gate.bound(most);
+        gate.bound((part, most));
         Arc::clone(gate)
     }
 
--- a/crates/proxy/src/admission/gate.rs
+++ b/crates/proxy/src/admission/gate.rs
@@ -88,9 +88,9 @@
         }
     }
 
-    /// Sets the largest limit that can be of use.
-    pub(super) fn bound(&self, most: f64) {
-        self.lock().limiter.bound(most);
+    /// Sets the smallest and the largest limit that can be of use.
+    pub(super) fn bound(&self, bounds: (f64, f64)) {
+        self.lock().limiter.bound(bounds);
     }
 
     /// Waits until the request may run, at most until its deadline. A wait that ends in a
@@ -161,7 +161,7 @@
             let Some(((_, deadline, _), sender)) = state.queue.pop_first() else {
                 break;
             };
-            let grant = if now + state.limiter.average() > deadline {
+            let grant = if now + state.limiter.typical() > deadline {
                 let reason = "the deadline cannot be met with the measured service time";
                 Err(state.refuse(ResultCode::QueueDeadline, reason))
             } else {
@@ -208,7 +208,7 @@
         let before = self.queue.range(..place).count();
         let before = f64::from(u32::try_from(before).unwrap_or(u32::MAX));
         let rounds = (before + 1.0) / self.limiter.limit() + 1.0;
-        self.limiter.average().mul_f64(rounds)
+        self.limiter.typical().mul_f64(rounds)
     }
 
     /// Returns the waiting request that has to go, if the queue is full.
@@ -228,7 +228,7 @@
 
     fn refuse(&self, code: ResultCode, reason: &'static str) -> Refused {
         let (running, waiting) = (self.running, self.queue.len());
-        let (limit, time) = (self.limiter.limit(), self.limiter.average().as_millis());
+        let (limit, time) = (self.limiter.limit(), self.limiter.typical().as_millis());
         Refused {
             code,
             inputs: format!("running={running} limit={limit:.1} waiting={waiting} time={time}ms"),
