Learn from feed opens, test leaving targets, forget removed services

Cause: opens that a target refused or did not answer were not observed; runs shed by a leaving target cut the concurrency limit; gates and rate parts of removed services stayed in memory. Change: Observation::Taken, observed opens, only TargetShed counts against the limit, and state of services that left the catalogue is dropped when the maps outgrow it.

--- a/crates/proxy/src/admission/control.rs
+++ b/crates/proxy/src/admission/control.rs
@@ -8,7 +8,7 @@
 use crate::admission::limiter::Limiter;
 use crate::admission::rate_limits::RateLimits;
 use crate::admission::{Demand, LimitKey, Loan, Permit};
-use crate::catalogue::{CatalogueStore, Entry, TargetState};
+use crate::catalogue::{Catalogue, CatalogueStore, Entry, TargetState};
 use crate::membership::Membership;
 use crate::target::TargetPool;
 
@@ -101,7 +101,7 @@
         let entry = catalogue.entry(service).ok_or_else(unknown_service)?;
         let (count, now) = (self.membership.instance_count(), self.clock.now());
         lock(&self.rates).take(&catalogue, entry, count, now)?;
-        let gate = self.gate(entry, count);
+        let gate = self.gate(&catalogue, entry, count);
         let (class, queue) = (entry.class, entry.limits.queue);
         // A wait must not keep an old catalogue in memory.
         drop(catalogue);
@@ -127,12 +127,15 @@
         lock(&self.rates).borrow(loans, self.clock.now());
     }
 
-    fn gate(&self, entry: &Entry, instances: usize) -> Arc<Gate> {
+    fn gate(&self, catalogue: &Catalogue, entry: &Entry, instances: usize) -> Arc<Gate> {
         let slots: u32 = active(entry).map(|t| t.slots).sum();
         let instances = u32::try_from(instances).unwrap_or(u32::MAX);
         let part = f64::from(slots) / f64::from(instances.max(1));
         let most = (f64::from(slots) * MOST_SHARE).max(START_MINIMUM);
         let mut gates = lock(&self.gates);
+        if gates.len() > catalogue.entries.len() {
+            gates.retain(|service, _| catalogue.entry(*service).is_some());
+        }
         let gate = gates.entry(entry.service).or_insert_with(|| {
             let start = (part * START_SHARE).max(START_MINIMUM);
             let limiter = Limiter::new(start, (part, most), self.clock.now());
--- a/crates/proxy/src/admission/gate.rs
+++ b/crates/proxy/src/admission/gate.rs
@@ -45,7 +45,7 @@
 }
 
 impl Permit {
-    /// Tells that a target shed the request.
+    /// Tells that a target shed the request for lack of room.
     pub fn shed(&self) {
         self.gate.lock().limiter.shed(self.gate.clock.now());
     }
--- a/crates/proxy/src/admission/rate_limits.rs
+++ b/crates/proxy/src/admission/rate_limits.rs
@@ -194,6 +194,10 @@
     }
 
     fn refresh(&mut self, catalogue: &Catalogue, entry: &Entry, share: f64, now: Millis) {
+        if self.parts.len() > catalogue.entries.len() + catalogue.owners.len() {
+            self.parts.retain(|key, _| limit(catalogue, key).is_some());
+            self.minimums.retain(|s, _| catalogue.entry(*s).is_some());
+        }
         let owner = LimitKey::Owner(entry.owner.clone());
         for key in [owner, LimitKey::Service(entry.service)] {
             let (own, kept) = limit(catalogue, &key).unwrap_or_default();
--- a/crates/proxy/src/execution/executor.rs
+++ b/crates/proxy/src/execution/executor.rs
@@ -211,7 +211,10 @@
                     };
                 }
                 Ok(RunOutcome::Shed(code)) => {
-                    permit.shed();
+                    // A leaving target or a passed deadline says nothing about capacity.
+                    if code == ResultCode::TargetShed {
+                        permit.shed();
+                    }
                     refusal = code;
                 }
                 Err(code) => refusal = code,
--- a/crates/proxy/src/flow/flows.rs
+++ b/crates/proxy/src/flow/flows.rs
@@ -13,7 +13,7 @@
 use crate::admission::Admission;
 use crate::flow::{CallerSocket, OpenOutcome, PendingOpens};
 use crate::membership::Membership;
-use crate::routing::{Placement, Router};
+use crate::routing::{Observation, Placement, Router};
 use crate::target::{TargetLink, TargetPool};
 use crate::telemetry::{Counters, Decision, DecisionKind, Log, Part};
 
@@ -226,7 +226,18 @@
             self.log
                 .decide(decision.because(&link.target.name, choice.inputs, choice.reason));
             excluded.push(link.target.id);
-            match self.try_target(&link, placing).await {
+            let tried = self.try_target(&link, placing).await;
+            let observation = match tried {
+                Ok(OpenOutcome::Opened) => Some(Observation::Taken),
+                Ok(OpenOutcome::Refused(_)) => Some(Observation::Shed),
+                Err(ResultCode::TargetSilent) => Some(Observation::Failed),
+                // Nothing was sent.
+                Err(_) => None,
+            };
+            if let Some(observation) = observation {
+                self.router.observe(&link, observation);
+            }
+            match tried {
                 Ok(OpenOutcome::Opened) => {
                     link.count_opened();
                     let incarnation = link.target.incarnation;
--- a/crates/proxy/src/routing/health.rs
+++ b/crates/proxy/src/routing/health.rs
@@ -30,6 +30,8 @@
 pub enum Observation {
     /// It was done in the given time.
     Done(Duration),
+    /// It was taken and goes on, as a feed does.
+    Taken,
     /// It was shed before it started.
     Shed,
     /// It failed or was lost.
@@ -120,6 +122,7 @@
                 self.latency += (time.max(0.1) - self.latency) * weight;
                 self.failed_in_row = 0;
             }
+            Observation::Taken => self.failed_in_row = 0,
             Observation::Shed => self.shed += 1,
             Observation::Failed => {
                 self.failed += 1;
--- a/crates/proxy/src/routing/picker.rs
+++ b/crates/proxy/src/routing/picker.rs
@@ -207,8 +207,7 @@
         (placement, zones, listed): (Placement, &ByZone, &ByZone),
         (start, now): (Millis, Millis),
     ) -> Vec<f64> {
-        let owned: Vec<Candidate> = usable.iter().map(|c| (*c).clone()).collect();
-        let medians = zone_latency(&owned, &self.health);
+        let medians = zone_latency(usable, &self.health);
         let loads = usable.iter().map(|c| c.reported / c.capacity);
         #[expect(clippy::cast_precision_loss)]
         let mean = loads.sum::<f64>() / usable.len().max(1) as f64;
--- a/crates/proxy/src/routing/tests.rs
+++ b/crates/proxy/src/routing/tests.rs
@@ -159,6 +159,18 @@
     assert_eq!(counts[0], 0, "the second ejection is longer");
 }
 
+/// Guards against feeds that end no row of failures, so that rare failures add up over hours.
+#[test]
+fn a_taken_feed_ends_a_row_of_failures() {
+    let mut picker = picker();
+    for _ in 0..4 {
+        observe(&mut picker, 0, Observation::Failed, 5, START);
+    }
+    observe(&mut picker, 0, Observation::Taken, 5, START);
+    observe(&mut picker, 0, Observation::Failed, 5, START);
+    assert!(picks(&mut picker, &candidates(5), 100, START)[0] > 0);
+}
+
 /// Guards against ejections that take more than 30% of a service away.
 #[test]
 fn at_most_three_of_ten_targets_are_ejected() {
--- a/crates/proxy/src/routing/weight.rs
+++ b/crates/proxy/src/routing/weight.rs
@@ -30,7 +30,7 @@
 
 /// Returns the median time of a run of each zone. Zones differ by their distance, so targets are
 /// only compared within one.
-pub(super) fn zone_latency(candidates: &[Candidate], health: &Health) -> FastMap<ZoneName, f64> {
+pub(super) fn zone_latency(candidates: &[&Candidate], health: &Health) -> FastMap<ZoneName, f64> {
     let mut times: FastMap<ZoneName, Vec<f64>> = FastMap::default();
     for candidate in candidates {
         let known = health.latency(candidate.target);
--- a/crates/standins/tests/admission.rs
+++ b/crates/standins/tests/admission.rs
@@ -231,6 +231,35 @@
     );
 }
 
+/// Guards against new work at targets that leave by the catalogue or by their own word.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_targets_get_no_new_work() {
+    // Two targets in each zone, so that a leaving one has a share that it could keep.
+    let mut fleet = fleet(vec![(service("buzz", 1, "abay"), 6)], |o| o).await;
+    fleet.targets[0].1.drain();
+    fleet.targets[1].1.expect_no_new_work();
+    fleet.services[0].targets[1].state = "leaving";
+    fleet.publish_services();
+    let caller = Caller::start(fleet.fabric.address(), 1).await;
+    let caller = caller.expect("caller");
+    let mut feeds = JoinSet::new();
+    for i in 0..30 {
+        let caller = caller.clone();
+        feeds.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(200 * i)).await;
+            let end = Instant::now() + Duration::from_millis(100);
+            caller.hold_feed(end).await.opened
+        });
+    }
+    let report = load(&fleet, 1, 2, Duration::from_secs(6)).await;
+    while let Some(opened) = feeds.join_next().await {
+        assert!(opened.expect("no panic"));
+    }
+    let late = |i: usize| fleet.targets[i].1.record().new_work_after_leave;
+    assert_eq!((late(0), late(1)), (0, 0));
+    assert!(report.goodput() > 0.9, "{}", report.goodput());
+}
+
 fn requests(fleet: &Fleet) -> Vec<u64> {
     let records = fleet.targets.iter().map(|(_, t)| t.record());
     records.map(|r| r.requests).collect()
