Judge balance over many sessions, and test the verdict

Change: 32 callers and 4 requests for each session; tests that the verdict names runs at two targets and runs after "not run".

--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -24,7 +24,10 @@
 /// stays with its own.
 const PATIENCE: Duration = Duration::from_millis(700);
 /// Sockets that the requests of one mix share.
-const CALLERS: usize = 8;
+const CALLERS: usize = 32;
+/// Requests of one session. With few long sessions the choice of executors, which is the
+/// fabric's and not the balancers', would decide the balance between targets.
+const SESSION_REQUESTS: u32 = 4;
 
 /// The load on one service.
 #[derive(Debug, Clone, Default)]
@@ -267,7 +270,8 @@
 /// A caller that opens a new session when the executor of the old one is gone.
 struct SessionCaller {
     caller: Caller,
-    session: tokio::sync::Mutex<Option<(u64, Session)>>,
+    /// The session with a number of its own and the requests that it still serves.
+    session: tokio::sync::Mutex<Option<(u64, u32, Session)>>,
 }
 
 impl SessionCaller {
@@ -295,18 +299,20 @@
     /// Makes later requests open a new session.
     async fn end_session(&self, number: u64) {
         let mut current = self.session.lock().await;
-        if current.as_ref().is_some_and(|(n, _)| *n == number) {
+        if current.as_ref().is_some_and(|(n, ..)| *n == number) {
             *current = None;
         }
     }
 
     async fn session(&self) -> Option<(u64, Session)> {
         let mut current = self.session.lock().await;
-        if current.is_none() {
+        if current.as_ref().is_none_or(|(_, left, _)| *left == 0) {
             let session = self.caller.session().await.ok()?;
-            *current = Some((rand::random(), session));
+            *current = Some((rand::random(), SESSION_REQUESTS, session));
         }
-        current.clone()
+        let (number, left, session) = current.as_mut()?;
+        *left -= 1;
+        Some((*number, session.clone()))
     }
 }
 
--- /dev/null
+++ b/crates/standins/tests/verdict.rs
@@ -0,0 +1,59 @@
+//! The verdict on a run: every broken promise must be named.
+
+use tanager_standins::load::Tally;
+use tanager_standins::target::{Record, request_body};
+use tanager_standins::verdict::Truth;
+
+fn record(runs: &[(&str, u32)]) -> (u32, Record) {
+    let runs = runs.iter().map(|(id, n)| ((*id).to_owned(), *n));
+    let record = Record {
+        runs: runs.collect(),
+        ..Record::default()
+    };
+    (1, record)
+}
+
+/// Guards against a run at two targets, or once at each of two executors, going unseen.
+#[test]
+fn runs_at_two_targets_are_a_breach() {
+    let truth = Truth {
+        records: vec![record(&[("a", 1), ("b", 1)]), record(&[("a", 1)])],
+        ..Truth::default()
+    };
+
+    assert_eq!(truth.ran_twice(), 1);
+    assert_eq!(truth.breaches(), ["1 non-repeatable requests ran twice"]);
+}
+
+/// Guards against believing "not run" without asking the targets.
+#[test]
+fn run_after_not_run_is_a_breach() {
+    let mut tally = Tally::default();
+    tally.once.not_run_ids = vec!["a".to_owned(), "c".to_owned()];
+    let truth = Truth {
+        tallies: vec![tally],
+        records: vec![record(&[("a", 1), ("b", 1)])],
+        invariant_violations: 0,
+    };
+
+    assert_eq!(truth.ran_after_not_run(), 1);
+    assert_eq!(truth.breaches().len(), 1);
+}
+
+/// Guards against a correct run being judged as broken.
+#[test]
+fn correct_run_has_no_breach() {
+    let truth = Truth {
+        tallies: vec![Tally::default()],
+        records: vec![record(&[("a", 1)])],
+        invariant_violations: 0,
+    };
+
+    assert!(truth.breaches().is_empty());
+}
+
+/// Guards against two services having the same request body, which would hide a wrong delivery.
+#[test]
+fn bodies_name_their_service() {
+    assert_ne!(request_body(1), request_body(2));
+}
