Keep one bounded connection to each peer

Cause: concurrent calls each opened a connection to a peer, every late reply opened another one, connections were never closed, and calls to a frozen peer piled up without bound. Change: one connection object for each peer, opened under a lock by the first call; at most 256 calls in flight, further ones fail at once; after a failed attempt calls fail for 200 ms; a late reply closes the connection only after 3 s without any success; closed after 60 s idle. The server closes a connection after 90 s without a call, which ends those whose client vanished without a word. Ruled out: closing on every time-out, since each closing made a frozen peer accept one more connection.

--- a/crates/proxy/src/peer/client.rs
+++ b/crates/proxy/src/peer/client.rs
@@ -3,46 +3,59 @@
 use std::time::Duration;
 
 use tanager_core::{FastMap, Revision};
-use tarpc::client::Config;
 use tarpc::context;
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tokio::time::timeout;
+use tokio::time::Instant;
 
-use crate::peer::service::PeerClient;
+use crate::peer::connection::Connection;
 use crate::peer::{CatalogueText, Heartbeat, Network, RelayReply, Relayed};
 use crate::{Error, Result};
 
-/// Longest wait for a connection to a peer.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest wait for a peer's reply.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for a peer's reply, with the connection already open.
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without calls after which a connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_mins(1);
 
-/// Clients of other instances, connected on demand.
+/// Clients of other instances, connected on demand, with one connection for each peer.
 pub struct Peers {
     network: Arc<dyn Network>,
-    clients: Mutex<FastMap<SocketAddr, PeerClient>>,
+    idle_limit: Duration,
+    connections: Arc<Mutex<Connections>>,
 }
 
+type Connections = FastMap<SocketAddr, Arc<Connection>>;
+
 impl Peers {
     /// Creates a set without connections.
     #[must_use]
     pub fn new(network: Arc<dyn Network>) -> Self {
+        Self::with_idle_limit(network, IDLE_LIMIT)
+    }
+
+    /// Creates a set that closes connections after another idle time.
+    #[must_use]
+    pub fn with_idle_limit(network: Arc<dyn Network>, idle_limit: Duration) -> Self {
         Self {
             network,
-            clients: Mutex::default(),
+            idle_limit,
+            connections: Arc::default(),
         }
     }
 
+    /// Returns the number of peers with a connection or a call in progress.
+    #[must_use]
+    pub fn connected(&self) -> usize {
+        lock(&self.connections).len()
+    }
+
     /// Exchanges heartbeats with a peer.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Peer`] if the peer does not answer in time.
     pub async fn exchange(&self, address: SocketAddr, own: Heartbeat) -> Result<Heartbeat> {
-        let client = self.client(address).await?;
-        let reply = client.exchange(context(), own).await;
-        reply.map_err(|e| self.failed(address, &e))
+        let connection = self.connection(address);
+        let call = connection.call(|client| async move { client.exchange(context(), own).await });
+        call.await.map_err(|cause| Error::peer(address, &cause))
     }
 
     /// Fetches a peer's catalogue if it is newer than `after`.
@@ -55,9 +68,10 @@
         address: SocketAddr,
         after: Revision,
     ) -> Result<Option<CatalogueText>> {
-        let client = self.client(address).await?;
-        let reply = client.catalogue(context(), after).await;
-        reply.map_err(|e| self.failed(address, &e))
+        let connection = self.connection(address);
+        let call =
+            connection.call(|client| async move { client.catalogue(context(), after).await });
+        call.await.map_err(|cause| Error::peer(address, &cause))
     }
 
     /// Hands a datagram to the executor at `address`.
@@ -67,42 +81,49 @@
     /// Returns [`Error::Peer`] if the executor does not answer in time. It may still have taken
     /// the datagram then.
     pub async fn relay(&self, address: SocketAddr, relayed: Relayed) -> Result<RelayReply> {
-        let client = self.client(address).await?;
-        let reply = client.relay(context(), relayed).await;
-        reply.map_err(|e| self.failed(address, &e))
+        let connection = self.connection(address);
+        let call = connection.call(|client| async move { client.relay(context(), relayed).await });
+        call.await.map_err(|cause| Error::peer(address, &cause))
     }
 
-    async fn client(&self, address: SocketAddr) -> Result<PeerClient> {
-        let known = self
-            .clients
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&address)
-            .cloned();
-        if let Some(client) = known {
-            return Ok(client);
-        }
-        let stream = timeout(CONNECT_TIMEOUT, self.network.connect(address))
-            .await
-            .map_err(|e| Error::peer(address, &e))?
-            .map_err(|e| Error::peer(address, &e))?;
-        let framed = LengthDelimitedCodec::builder().new_framed(stream);
-        let transport = tarpc::serde_transport::new(framed, Bincode::default());
-        let client = PeerClient::new(Config::default(), transport).spawn();
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        Ok(clients.entry(address).or_insert(client).clone())
+    fn connection(&self, address: SocketAddr) -> Arc<Connection> {
+        let mut connections = lock(&self.connections);
+        let connection = connections.entry(address).or_insert_with(|| {
+            let connection = Arc::new(Connection::new(address, Arc::clone(&self.network)));
+            tokio::spawn(close_when_idle(
+                Arc::clone(&connection),
+                Arc::clone(&self.connections),
+                self.idle_limit,
+            ));
+            connection
+        });
+        connection.touch();
+        Arc::clone(connection)
     }
+}
 
-    /// Forgets the connection, so that the next call opens a new one.
-    fn failed(&self, address: SocketAddr, cause: &impl ToString) -> Error {
-        self.clients
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&address);
-        Error::peer(address, cause)
+/// Removes a connection once it has been idle for `limit`. Dropping it closes the stream.
+async fn close_when_idle(
+    connection: Arc<Connection>,
+    connections: Arc<Mutex<Connections>>,
+    limit: Duration,
+) {
+    loop {
+        tokio::time::sleep_until(connection.used() + limit).await;
+        let mut connections = lock(&connections);
+        // Calls take their handle under the same lock, so none starts after this check.
+        if connection.used() + limit <= Instant::now() && connection.is_unused() {
+            connections.remove(&connection.address());
+            return;
+        }
+        connection.extend();
     }
 }
 
+fn lock(connections: &Mutex<Connections>) -> std::sync::MutexGuard<'_, Connections> {
+    connections.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn context() -> context::Context {
     let mut context = context::current();
     context.deadline = std::time::Instant::now() + CALL_TIMEOUT;
--- a/crates/proxy/src/peer/mod.rs
+++ b/crates/proxy/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Connections between instances: heartbeats, catalogue transfer, and relay to executors.
 
 mod client;
+mod connection;
 mod network;
 mod server;
 mod service;
@@ -9,3 +10,6 @@
 pub use network::{Network, PeerStream, TcpNetwork};
 pub use server::{PeerHandler, serve};
 pub use service::{CatalogueText, Heartbeat, Peer, PeerClient, RelayReply, Relayed};
+
+#[cfg(test)]
+mod client_tests;
--- a/crates/proxy/src/peer/server.rs
+++ b/crates/proxy/src/peer/server.rs
@@ -1,5 +1,6 @@
-use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::StreamExt as _;
 use tanager_core::Revision;
@@ -8,10 +9,15 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::peer::service::Peer;
 use crate::peer::{CatalogueText, Heartbeat, RelayReply, Relayed};
 
+/// A connection without a call for this long is closed. It exceeds the time after which clients
+/// close idle connections, and ends those whose client vanished without a word.
+const IDLE_LIMIT: Duration = Duration::from_secs(90);
+
 /// Answers calls of other instances.
 pub trait PeerHandler: Send + Sync + 'static {
     /// Takes a peer's heartbeat and returns the own one.
@@ -45,7 +51,7 @@
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&handler)))),
             // Accept fails for a moment when the process has no free file descriptor.
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
         }
     }
 }
@@ -55,13 +61,9 @@
     let framed = LengthDelimitedCodec::builder().new_framed(stream);
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
-    channel
-        .execute(Server(handler).serve())
-        .for_each(run_call)
-        .await;
-}
-
-/// Runs one call to its end; calls are short and do not wait for others.
-async fn run_call(call: impl Future<Output = ()> + Send + 'static) {
-    call.await;
+    let mut calls = pin!(channel.execute(Server(handler).serve()));
+    // Calls are short and do not wait for others, so they run one after the other.
+    while let Ok(Some(call)) = timeout(IDLE_LIMIT, calls.next()).await {
+        call.await;
+    }
 }
