Prove at most one run and truthful refusals under faults

Cause: nothing compared what callers were told with what ran. The first runs found a fault: targets started requests up to 0.7 ms after their deadline, because the time of a load report and the target's clock are both rounded down to milliseconds. Ruled out: a tolerance in the check, since the deadline may only be too early.

--- a/crates/proxy/src/execution/dispatch.rs
+++ b/crates/proxy/src/execution/dispatch.rs
@@ -28,6 +28,24 @@
     Unknown(ResultCode),
 }
 
+impl From<RunOutcome> for Attempt {
+    fn from(outcome: RunOutcome) -> Self {
+        match outcome {
+            RunOutcome::Done(payload) => Self::Answered(payload),
+            RunOutcome::Shed(code) => Self::NotStarted {
+                code,
+                free: code == ResultCode::TargetLeaving,
+            },
+            RunOutcome::NotSent(error) => Self::NotStarted {
+                code: error.code(),
+                free: true,
+            },
+            RunOutcome::Failed => Self::Unknown(ResultCode::RequestFailed),
+            RunOutcome::Lost => Self::Unknown(ResultCode::OutcomeLost),
+        }
+    }
+}
+
 impl Execution {
     /// Runs the request on a target. Nothing is sent twice unless it is repeatable or the target
     /// said that it did not start it.
@@ -131,19 +149,7 @@
         if matches!(outcome, RunOutcome::Shed(_) | RunOutcome::NotSent(_)) {
             self.requests.lock_table().not_started(job.key);
         }
-        match outcome {
-            RunOutcome::Done(payload) => Attempt::Answered(payload),
-            RunOutcome::Shed(code) => Attempt::NotStarted {
-                code,
-                free: code == ResultCode::TargetLeaving,
-            },
-            RunOutcome::NotSent(error) => Attempt::NotStarted {
-                code: error.code(),
-                free: true,
-            },
-            RunOutcome::Failed => Attempt::Unknown(ResultCode::RequestFailed),
-            RunOutcome::Lost => Attempt::Unknown(ResultCode::OutcomeLost),
-        }
+        outcome.into()
     }
 
     fn log_dispatch(&self, job: &Job, choice: Choice) {
--- a/crates/proxy/src/execution/mod.rs
+++ b/crates/proxy/src/execution/mod.rs
@@ -18,4 +18,6 @@
 #[cfg(test)]
 mod pause_tests;
 #[cfg(test)]
+mod retry_tests;
+#[cfg(test)]
 mod table_tests;
--- /dev/null
+++ b/crates/proxy/src/execution/retry_tests.rs
@@ -0,0 +1,21 @@
+use tanager_core::ServiceId;
+
+use crate::execution::retry::RetryBudget;
+
+/// Guards against retries that multiply the load of failing targets, and against one service
+/// using up the retries of another.
+#[test]
+fn retries_stay_within_a_tenth_of_the_requests() {
+    let budget = RetryBudget::default();
+    let (failing, other) = (ServiceId::new(1), ServiceId::new(2));
+
+    let retries = (0..2_000).filter(|_| {
+        budget.earn(failing);
+        budget.spend(failing)
+    });
+    let retries = retries.count();
+
+    // 10% of 2,000 requests and the initial 50.
+    assert!(retries <= 250, "{retries} retries");
+    assert!(budget.spend(other));
+}
--- a/crates/proxy/src/execution/table_tests.rs
+++ b/crates/proxy/src/execution/table_tests.rs
@@ -76,26 +76,17 @@
 }
 
 impl Model {
-    fn arrive(
-        &mut self,
-        table: &mut RequestTable,
-        number: u8,
-        leaving: bool,
-        deadline: Millis,
-        now: Millis,
-    ) {
-        let arrival = Arrival {
-            leaving,
-            ..arrival(number, deadline)
-        };
+    fn arrive(&mut self, table: &mut RequestTable, arrival: Arrival, now: Millis) {
+        let (number, deadline) = (arrival.key.request.as_bytes()[0], arrival.deadline);
         let lookup = table.begin(arrival, now);
         match lookup {
             Lookup::New(_) => {
                 assert!(now < deadline, "taken after its deadline");
-                assert!(!leaving, "taken while leaving");
-                assert!(!self.ended.contains(&number), "taken twice");
+                assert!(!arrival.leaving, "taken while leaving");
+                let known = self.ended.contains(&number) || self.pending.contains(&number);
+                assert!(!known, "taken twice");
                 assert!(!self.refused.contains(&number), "taken after not run");
-                assert!(self.pending.insert(number), "taken twice");
+                self.pending.insert(number);
             }
             Lookup::Pending => assert!(self.pending.contains(&number)),
             Lookup::Ended(Ending::Refused {
@@ -107,7 +98,7 @@
                 self.refused.insert(number);
             }
             Lookup::Ended(_) | Lookup::Unrecorded(_) => {
-                assert!(!self.pending.contains(&number), "a pending id is lost");
+                assert!(!self.pending.contains(&number), "pending is lost");
                 let kept = now < deadline + KEEP_AFTER_DEADLINE;
                 let known = matches!(lookup, Lookup::Ended(_));
                 assert!(
@@ -158,7 +149,8 @@
             match step {
                 Step::Arrive { number, leaving } => {
                     let deadline = START + Duration::from_millis(deadlines[usize::from(number)]);
-                    model.arrive(&mut table, number, leaving, deadline, now);
+                    let arrival = Arrival { leaving, ..arrival(number, deadline) };
+                    model.arrive(&mut table, arrival, now);
                 }
                 Step::End(kind) => model.end(&mut table, kind),
                 Step::Cancel { number } => {
--- a/crates/proxy/src/peer/mod.rs
+++ b/crates/proxy/src/peer/mod.rs
@@ -7,7 +7,7 @@
 mod service;
 
 pub use client::Peers;
-pub use network::{Network, PeerStream, TcpNetwork};
+pub use network::{Connecting, Network, PeerStream, TcpNetwork};
 pub use server::{PeerHandler, serve};
 pub use service::{CatalogueText, Heartbeat, Peer, PeerClient, RelayReply, Relayed};
 
--- a/crates/proxy/src/target/link.rs
+++ b/crates/proxy/src/target/link.rs
@@ -10,6 +10,10 @@
 
 use crate::catalogue::Target;
 
+/// Readings are rounded down to milliseconds: the time of the report by up to 1 ms, and the
+/// target's clock when it compares it with the deadline by another 1 ms.
+const CLOCK_ROUNDING: Duration = Duration::from_millis(2);
+
 /// Why a frame cannot be handed to a target. The frame was not sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkError {
@@ -198,9 +202,9 @@
 
     /// Converts a deadline to the target's clock. The report's clock reading was taken before the
     /// report arrived, so the result is never later than the deadline.
-    fn target_deadline(&self, deadline: Millis) -> Millis {
+    pub(super) fn target_deadline(&self, deadline: Millis) -> Millis {
         let view = self.load();
-        view.load.clock + deadline.since(view.at)
+        view.load.clock + deadline.since(view.at + CLOCK_ROUNDING)
     }
 
     /// Takes over a load report.
--- a/crates/proxy/src/target/mod.rs
+++ b/crates/proxy/src/target/mod.rs
@@ -6,3 +6,6 @@
 
 pub use link::{LinkError, LoadView, RunOrder, RunOutcome, TargetLink};
 pub use pool::TargetPool;
+
+#[cfg(test)]
+mod link_tests;
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -142,8 +142,21 @@
         id: RequestId,
         body: Bytes,
         budget: Duration,
+    ) -> Outcome {
+        self.execute_with(session, id, || body, budget).await
+    }
+
+    /// Runs a non-repeatable request whose body is made after its deadline is set, so that a time
+    /// in the body is never before the deadline.
+    pub async fn execute_with(
+        &self,
+        session: &Session,
+        id: RequestId,
+        body: impl FnOnce() -> Bytes,
+        budget: Duration,
     ) -> Outcome {
         let deadline = session.issued + session.received.elapsed() + budget;
+        let body = body();
         let token = Some(session.token.clone());
         let deadline = Deadline::Executor(deadline);
         self.request(new_request(id, token, false, deadline, body), budget)
@@ -170,7 +183,7 @@
         let mut inbox = self.inbox(*request.request.as_bytes());
         let end = Instant::now() + budget + ANSWER_MARGIN;
         let mut assembly: Option<Assembly> = None;
-        let mut last = NO_REPLY;
+        let mut last = (NO_REPLY, RunState::Unknown);
         let mut asked = Instant::now();
         self.send(DatagramBody::Request(request.clone())).await;
         while Instant::now() < end {
@@ -190,7 +203,7 @@
                 }
                 Ok(Some(DatagramBody::Refusal(refusal))) => match refusal.code {
                     // Another copy may still reach the executor.
-                    ResultCode::ExecutorUnreachable => last = refusal.code,
+                    ResultCode::ExecutorUnreachable => last = (refusal.code, refusal.state),
                     code => return Outcome::Refused(code, refusal.state),
                 },
                 Ok(Some(_)) => {}
@@ -201,7 +214,7 @@
                 }
             }
         }
-        Outcome::Refused(last, RunState::Unknown)
+        Outcome::Refused(last.0, last.1)
     }
 
     /// Holds a feed open until `end` and reports what happened.
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
 use prost::Message as _;
@@ -336,11 +336,13 @@
     if shared.lock_cancelled().remove(&(connection, number)) {
         return shed(ResultCode::RequestCancelled);
     }
+    // Read first, so that a delay between the readings never makes a start look late.
+    let started_at = wall_clock();
     if shared.clock.now() > Millis::new(run.deadline_ms) {
         return shed(ResultCode::DeadlinePassed);
     }
     shared.running.fetch_add(1, Ordering::Relaxed);
-    shared.record_start(&run);
+    shared.record_start(&run, started_at);
     let started = Instant::now();
     tokio::time::sleep(shared.service_time()).await;
     shared.record_end(started.elapsed());
@@ -355,6 +357,35 @@
     });
 }
 
+const LATEST_START: &[u8] = b"start by ";
+
+/// Returns a request body that tells targets until when they may start it, on the wall clock of
+/// the machine. Targets use it only to record late starts.
+#[must_use]
+pub fn body_with_latest_start(budget: Duration) -> Bytes {
+    let until = wall_clock() + budget;
+    let mut body = LATEST_START.to_vec();
+    body.extend_from_slice(
+        &u64::try_from(until.as_micros())
+            .unwrap_or(u64::MAX)
+            .to_be_bytes(),
+    );
+    body.into()
+}
+
+fn is_late(body: &[u8], at: Duration) -> bool {
+    let until = body
+        .strip_prefix(LATEST_START)
+        .and_then(|b| b.try_into().ok());
+    until.is_some_and(|until| at > Duration::from_micros(u64::from_be_bytes(until)))
+}
+
+fn wall_clock() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
 /// Returns the answer to a request: its id, repeated up to the size. Callers check it.
 #[must_use]
 pub fn answer(request: &[u8], size: usize) -> Bytes {
@@ -399,9 +430,10 @@
         }
     }
 
-    fn record_start(&self, run: &raw::target::Run) {
+    fn record_start(&self, run: &raw::target::Run, at: Duration) {
         let mut record = self.lock_record();
         record.requests += 1;
+        record.late_starts += u64::from(is_late(&run.body, at));
         if let (false, Ok(id)) = (run.repeatable, RequestId::try_from(run.request.as_ref())) {
             *record.runs.entry(id.to_string()).or_default() += 1;
         }
--- /dev/null
+++ b/crates/standins/tests/execution/failures.rs
@@ -0,0 +1,194 @@
+//! Instances and targets that are killed, frozen, cut off or stopped.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tanager_core::{RequestId, ResultCode, RunState};
+use tanager_standins::caller::Outcome;
+use tanager_standins::fabric::Faults;
+use tanager_standins::fleet::Fleet;
+use tanager_standins::target::{Options, answer};
+use tanagerproxy::peer::{Connecting, Network, TcpNetwork};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::{ANSWER_SIZE, caller, check, execute, fleet, fleet_on, records, runs};
+
+/// Makes the fabric use only one instance.
+fn use_only(fleet: &Fleet, index: usize) {
+    let address = fleet.nodes[index].node.callers_address().expect("address");
+    fleet.fabric.set_balancers(vec![address]);
+}
+
+/// Guards against a second run after a target is killed, and against repeatable requests that are
+/// not tried again. The runs outlast the time until the kill.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_target_loses_only_non_repeatable_requests() {
+    const BUDGET: Duration = Duration::from_secs(25);
+    let slow = |options| Options {
+        service_time: Duration::from_secs(4),
+        ..options
+    };
+    let mut fleet = fleet(1, 2, slow).await;
+    let caller = caller(&fleet).await;
+    let session = caller.session().await.expect("session");
+    let ids = [(); 2].map(|()| RequestId::random());
+    let executed = ids.map(|id| {
+        let (caller, session) = (caller.clone(), session.clone());
+        tokio::spawn(async move { execute(&caller, &session, id, BUDGET).await })
+    });
+    let fetched = [(); 2].map(|()| {
+        let (caller, id) = (caller.clone(), RequestId::random());
+        tokio::spawn(async move { (id, caller.fetch(id, Bytes::new(), BUDGET).await) })
+    });
+    sleep(Duration::from_millis(800)).await;
+
+    let killed = fleet.targets.remove(0).1.kill();
+
+    let mut outcomes = Vec::new();
+    for (id, outcome) in ids.into_iter().zip(executed) {
+        outcomes.push((id, outcome.await.expect("outcome")));
+    }
+    for task in fetched {
+        let (id, outcome) = task.await.expect("outcome");
+        assert_eq!(
+            outcome,
+            Outcome::Answered(answer(id.as_bytes(), ANSWER_SIZE))
+        );
+    }
+    let lost = Outcome::Refused(ResultCode::OutcomeLost, RunState::Unknown);
+    let ran_at_killed = |id: &RequestId| killed.runs.contains_key(&id.to_string());
+    for (id, outcome) in outcomes.iter().filter(|o| ran_at_killed(&o.0)) {
+        assert_eq!(*outcome, lost, "{id}");
+    }
+    let mut records = records(&fleet);
+    records.push(killed);
+    check(&outcomes, &records);
+}
+
+/// Guards against "not run" from an instance that cannot know, while the executor is frozen and
+/// after it is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreachable_executor_means_unknown() {
+    let mut fleet = fleet(2, 2, |options| options).await;
+    let caller = caller(&fleet).await;
+    use_only(&fleet, 0);
+    let session = caller.session().await.expect("session");
+    use_only(&fleet, 1);
+    let ids = [(); 2].map(|()| RequestId::random());
+    let budget = Duration::from_secs(1);
+
+    fleet.nodes[0].freeze(Duration::from_secs(6));
+    sleep(Duration::from_millis(300)).await;
+    let frozen = execute(&caller, &session, ids[0], budget).await;
+    sleep(Duration::from_secs(5)).await;
+    let after_wake = runs(&records(&fleet), ids[0]);
+    fleet.nodes[0].kill();
+    let killed = execute(&caller, &session, ids[1], budget).await;
+
+    let unknown = Outcome::Refused(ResultCode::ExecutorUnreachable, RunState::Unknown);
+    assert_eq!((&frozen, &killed), (&unknown, &unknown));
+    assert_eq!(after_wake, 0, "started after its deadline");
+}
+
+/// A network that opens no new connections while it is cut.
+#[derive(Default)]
+struct CutNetwork(AtomicBool);
+
+impl Network for CutNetwork {
+    fn connect(&self, address: SocketAddr) -> Connecting {
+        if self.0.load(Ordering::Relaxed) {
+            return Box::pin(async { Err(io::ErrorKind::HostUnreachable.into()) });
+        }
+        TcpNetwork.connect(address)
+    }
+}
+
+/// Guards against an instance that cannot reach the executor and runs the request itself or says
+/// "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off_executor_runs_once_after_the_cut() {
+    let network = Arc::new(CutNetwork::default());
+    let fleet = fleet_on(Arc::clone(&network) as Arc<dyn Network>, 2, 2, |o| o).await;
+    let caller = caller(&fleet).await;
+    use_only(&fleet, 0);
+    let session = caller.session().await.expect("session");
+    use_only(&fleet, 1);
+    let id = RequestId::random();
+
+    network.0.store(true, Ordering::Relaxed);
+    let cut = execute(&caller, &session, id, Duration::from_secs(1)).await;
+    let before = runs(&records(&fleet), id);
+    network.0.store(false, Ordering::Relaxed);
+    let healed = execute(&caller, &session, id, Duration::from_secs(10)).await;
+
+    let unknown = Outcome::Refused(ResultCode::ExecutorUnreachable, RunState::Unknown);
+    assert_eq!((cut, before), (unknown, 0));
+    assert!(matches!(healed, Outcome::Answered(_)), "{healed:?}");
+    check(&[(id, healed)], &records(&fleet));
+}
+
+/// Guards against requests cut off by a graceful stop. Their runs outlast the shortest stop, and
+/// their first answers are lost, so that callers must ask the leaving instance again.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_stop_cuts_no_request_off() {
+    let mut fleet = fleet(3, 12, |options| Options {
+        service_time: Duration::from_millis(3_500),
+        ..options
+    })
+    .await;
+    let loss = |loss| Faults {
+        loss,
+        ..Faults::default()
+    };
+    use_only(&fleet, 0);
+    let mut requests = JoinSet::new();
+    for _ in 0..12 {
+        let caller = caller(&fleet).await;
+        let session = caller.session().await.expect("session");
+        requests.spawn(async move {
+            let id = RequestId::random();
+            (
+                id,
+                execute(&caller, &session, id, Duration::from_secs(20)).await,
+            )
+        });
+    }
+    sleep(Duration::from_secs(1)).await;
+    fleet.spray_to_all();
+    fleet.fabric.set_faults(loss(1.0));
+
+    let stopped = fleet.nodes[0].leave().expect("running");
+    sleep(Duration::from_secs(3)).await;
+    fleet.fabric.set_faults(loss(0.1));
+    stopped.await.expect("stopped");
+    fleet.nodes[0].kill();
+
+    let outcomes = requests.join_all().await;
+    for (id, outcome) in &outcomes {
+        assert!(matches!(outcome, Outcome::Answered(_)), "{id}: {outcome:?}");
+    }
+    check(&outcomes, &records(&fleet));
+}
+
+/// Guards against a leaving executor that takes new requests, or refuses them as unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_executor_refuses_new_requests_as_not_run() {
+    let fleet = fleet(1, 2, |options| options).await;
+    let caller = caller(&fleet).await;
+    let session = caller.session().await.expect("session");
+    let stopping = fleet.nodes[0].leave();
+    sleep(Duration::from_millis(300)).await;
+    let id = RequestId::random();
+
+    let outcome = execute(&caller, &session, id, Duration::from_secs(5)).await;
+
+    let expected = Outcome::Refused(ResultCode::ExecutorLeaving, RunState::NotRun);
+    assert_eq!(outcome, expected);
+    check(&[(id, outcome)], &records(&fleet));
+    drop(stopping);
+}
