Test that a woken instance places work on a fresh view

Cause: no test showed that the pause guard matters for requests. Change: a fleet test freezes an instance, cuts its zone off the platform, declares a target as leaving and sends 20 requests; after waking, none may reach that target. Ruled out: a freeze of 5 s, since the instance then closes its target links after 3 s of silence and answers RequestNoTarget ('not run') for all; with the platform reachable the watch delivers the new catalogue first and the test passes without the mechanism.

--- a/crates/standins/tests/execution/failures.rs
+++ b/crates/standins/tests/execution/failures.rs
@@ -70,6 +70,36 @@
     check(&outcomes, &records);
 }
 
+/// Guards against work placed on an old view: while the instance is frozen, the catalogue declares
+/// a target as leaving and requests arrive. Only the other instance can reach the platform.
+#[tokio::test(flavor = "multi_thread")]
+async fn woken_instance_places_work_on_a_fresh_view() {
+    let mut fleet = fleet(2, 2, |options| options).await;
+    let caller = caller(&fleet).await;
+    use_only(&fleet, 0);
+    let session = caller.session().await.expect("session");
+    // Shorter than the 3 s of silence after which the instance closes its target links.
+    fleet.nodes[0].freeze(Duration::from_millis(2_300));
+    sleep(Duration::from_millis(300)).await;
+    fleet.platform.cut_zones(["a".to_owned()]);
+    fleet.services[0].targets[0].state = "leaving";
+    fleet.publish_services();
+    let mut requests = JoinSet::new();
+    for _ in 0..20 {
+        let (caller, session) = (caller.clone(), session.clone());
+        let id = RequestId::random();
+        requests.spawn(async move {
+            execute(&caller, &session, id, Duration::from_secs(20)).await;
+        });
+    }
+
+    requests.join_all().await;
+
+    let requests: Vec<u64> = records(&fleet).iter().map(|r| r.requests).collect();
+    assert_eq!(requests[0], 0, "the leaving target got work");
+    assert!(requests[1] > 0, "no request ran");
+}
+
 /// Guards against "not run" from an instance that cannot know, while the executor is frozen and
 /// after it is killed.
 #[tokio::test(flavor = "multi_thread")]
