--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod feed;
 pub mod fleet;
 pub mod load;
+pub mod network;
 pub mod platform;
 pub mod program;
 pub mod settings;
