Measure the gap of a feed when an update arrives

Change: the gap is taken when an update arrives and carried over to the next flow. Ruled out: a finer timer; it would still sample.

--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -211,7 +211,7 @@
     /// Holds a feed open until `end` and reports what happened.
     pub async fn hold_feed(&self, end: Instant) -> FeedReport {
         let mut report = FeedReport::default();
-        let mut next = 0;
+        let (mut next, mut progressed) = (0, None);
         while Instant::now() < end {
             let inbox = self.inbox(*FlowId::random().as_bytes());
             let (inbox, session) = match self.open(inbox, FlowKind::Feed, next).await {
@@ -226,8 +226,11 @@
             };
             report.opened = true;
             let mut feed = OpenFeed::new(inbox, session.token, next, self.service);
+            feed.progressed = progressed.unwrap_or(feed.progressed);
             let held = feed.hold(self, end, &mut report).await;
             next = feed.next;
+            // The time without a feed is part of the gap.
+            progressed = Some(feed.progressed);
             match held {
                 Held::Ended => break,
                 Held::Broken => report.broken += 1,
@@ -430,6 +433,7 @@
         while self.early.remove(&self.next) {
             self.next += 1;
             report.updates += 1;
+            report.longest_gap = report.longest_gap.max(self.progressed.elapsed());
             self.progressed = Instant::now();
         }
     }
