Write the target links anew with bounded pings and definite run outcomes

The ignore pattern target/ also matched crates/proxy/src/target, so the folder was missing from the repository and no worktree built. The folder is written anew to the interface that its users need; TargetPool::new also takes the counters.

A run ends exactly once: answered, not sent (never left the queue, queue full, deadline passed in the queue) or lost. A frame that expects an answer starts the silence limit of 3 s, so the limit no longer depends on the ping interval. Pings of all links share 2,048 bytes a second: the interval of quiet links grows with their number (80 to 110 s at 3,400), and a link with a run in flight may use the remaining quarter. A batched write ends after 3 s. Reading comes before the silence check, so a process that was paused does not close links whose answers wait in the socket.

Ruled out: a fixed ping interval per link (3,400 links would need 160 KB/s) and closing a link after 3 s without any frame (quiet links would flap).

Tests: 5 new in target/tests.rs; all of tanagerproxy and tanager-standins pass.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -177,6 +177,7 @@
             identity,
             Arc::clone(&network),
             return_path,
+            Arc::clone(&counters),
             clock,
             log.clone(),
         ));
--- /dev/null
+++ b/crates/proxy/src/target/link.rs
@@ -0,0 +1,157 @@
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use tanager_core::{Clock, Millis, ServiceId};
+use tanager_wire::{Load, ToTarget, raw};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::catalogue::Target;
+use crate::target::connection::Connection;
+use crate::target::{LinkError, RunOrder, RunOutcome};
+
+/// An answer that takes this long makes the target doubtful, before its connection is closed.
+const SUSPECT_AFTER: Duration = Duration::from_secs(1);
+
+/// The load of a target as known here.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LoadView {
+    /// The target's last report.
+    pub load: Load,
+    /// Feeds that this instance has sent to the target since that report.
+    pub opened: u32,
+}
+
+#[derive(Debug, Default)]
+struct LoadState {
+    view: LoadView,
+    /// When the report was read, on this instance's clock.
+    read: Millis,
+}
+
+/// The link to one target as published in the catalogue.
+#[derive(Debug)]
+pub struct TargetLink {
+    /// The target. The catalogue in force may list another state or other limits; service,
+    /// address and incarnation are the same.
+    pub target: Target,
+    /// The only service whose packets are sent over this link.
+    pub service: ServiceId,
+    clock: Clock,
+    /// Present from the checked `HelloAck` to the end of the connection.
+    connection: ArcSwapOption<Connection>,
+    load: Mutex<LoadState>,
+    mismatched: AtomicBool,
+    /// Wakes the link's task after an identity mismatch.
+    pub(super) retry: Notify,
+    /// Ends the link's task.
+    pub(super) stop: CancellationToken,
+}
+
+impl TargetLink {
+    pub(super) fn new(target: Target, service: ServiceId, clock: Clock) -> Self {
+        Self {
+            target,
+            service,
+            clock,
+            connection: ArcSwapOption::empty(),
+            load: Mutex::default(),
+            mismatched: AtomicBool::new(false),
+            retry: Notify::new(),
+            stop: CancellationToken::new(),
+        }
+    }
+
+    /// Returns whether there is a connection on which the target has proved its identity.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.connection.load().is_some()
+    }
+
+    /// Returns whether another process answered at the target's address.
+    #[must_use]
+    pub fn is_mismatched(&self) -> bool {
+        self.mismatched.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the target is overdue with an answer.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        let connection = self.connection.load();
+        let awaiting = connection.as_ref().and_then(|c| c.awaiting());
+        awaiting.is_some_and(|since| self.clock.now().since(since) >= SUSPECT_AFTER)
+    }
+
+    /// Returns the target's load.
+    #[must_use]
+    pub fn load(&self) -> LoadView {
+        self.lock_load().view
+    }
+
+    /// Returns the runs that have not ended.
+    #[must_use]
+    pub fn inflight(&self) -> u32 {
+        let connection = self.connection.load();
+        let runs = connection.as_ref().map_or(0, |c| c.inflight());
+        u32::try_from(runs).unwrap_or(u32::MAX)
+    }
+
+    /// Counts a feed that was sent to the target and is not in its report yet.
+    pub fn count_opened(&self) {
+        self.lock_load().view.opened += 1;
+    }
+
+    /// Queues a frame without waiting.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no checked connection or its queue is full.
+    pub fn send(&self, frame: ToTarget) -> Result<(), LinkError> {
+        let connection = self.connection.load();
+        let connection = connection.as_ref().ok_or(LinkError::Disconnected)?;
+        connection.send(frame, self.clock.now())
+    }
+
+    /// Runs a request and waits for its end.
+    pub async fn run(&self, order: RunOrder) -> RunOutcome {
+        let Some(connection) = self.connection.load_full() else {
+            return RunOutcome::NotSent(LinkError::Disconnected);
+        };
+        let frame = raw::target::Run {
+            run: 0,
+            request: Bytes::copy_from_slice(order.request.as_bytes()),
+            repeatable: order.repeatable,
+            deadline_ms: self.target_deadline(order.deadline).get(),
+            body: order.body,
+        };
+        connection.run(frame, order.deadline).await
+    }
+
+    /// Converts a deadline to the target's clock. The target read its clock before the report was
+    /// read here, so the result can only be too early.
+    pub(super) fn target_deadline(&self, deadline: Millis) -> Millis {
+        let state = self.lock_load();
+        state.view.load.clock + deadline.since(state.read)
+    }
+
+    pub(super) fn take_load(&self, load: Load) {
+        let read = self.clock.now();
+        let view = LoadView { load, opened: 0 };
+        *self.lock_load() = LoadState { view, read };
+    }
+
+    pub(super) fn set_connection(&self, connection: Option<Arc<Connection>>) {
+        self.connection.store(connection);
+    }
+
+    pub(super) fn set_mismatched(&self, mismatched: bool) {
+        self.mismatched.store(mismatched, Ordering::Relaxed);
+    }
+
+    fn lock_load(&self) -> MutexGuard<'_, LoadState> {
+        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/target/mod.rs
@@ -0,0 +1,17 @@
+//! Links to targets: one checked TCP connection for each target of the catalogue.
+
+mod connection;
+mod error;
+mod link;
+mod ping;
+mod pool;
+mod run;
+mod session;
+
+#[cfg(test)]
+mod tests;
+
+pub use error::LinkError;
+pub use link::{LoadView, TargetLink};
+pub use pool::TargetPool;
+pub use run::{RunOrder, RunOutcome};
--- /dev/null
+++ b/crates/proxy/src/target/tests.rs
@@ -0,0 +1,152 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tanager_core::{Clock, Incarnation, Millis, ServiceId, TargetId};
+use tanager_wire::{Load, ToTarget, raw};
+
+use super::connection::{Connection, QUEUE_LIMIT};
+use super::ping::{PingBudget, QuietMark};
+use super::{LinkError, RunOutcome, TargetLink};
+use crate::catalogue::{Target, TargetState};
+
+fn order(body: &'static [u8]) -> raw::target::Run {
+    raw::target::Run {
+        body: Bytes::from_static(body),
+        ..Default::default()
+    }
+}
+
+fn ping() -> ToTarget {
+    ToTarget::Ping(raw::target::Ping { number: 1 })
+}
+
+/// Lets spawned tasks queue their frames.
+async fn settle() {
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against a run that is reported as possibly run although it never left the queue, and
+/// against one reported as not sent although it did.
+#[tokio::test]
+async fn a_closed_connection_ends_queued_runs_as_not_sent_and_written_runs_as_lost() {
+    let clock = Clock::start();
+    let deadline = clock.now() + Duration::from_mins(1);
+    let (connection, mut queue) = Connection::new();
+    let connection = Arc::new(connection);
+    let run = |body| {
+        let connection = Arc::clone(&connection);
+        tokio::spawn(async move { connection.run(order(body), deadline).await })
+    };
+    let written = run(b"written");
+    settle().await;
+    let mut batch = vec![queue.recv().await.expect("a queued run")];
+    connection.encode(&mut batch, &mut BytesMut::new(), clock);
+    let queued = run(b"queued");
+    settle().await;
+
+    connection.close(&mut queue);
+
+    assert_eq!(written.await.expect("task"), RunOutcome::Lost);
+    let not_sent = RunOutcome::NotSent(LinkError::Disconnected);
+    assert_eq!(queued.await.expect("task"), not_sent);
+    assert_eq!(connection.run(order(b"late"), deadline).await, not_sent);
+    assert_eq!(connection.inflight(), 0);
+}
+
+/// Guards against a run frame that is dropped without a word when the queue is full.
+#[tokio::test]
+async fn a_full_queue_refuses_runs() {
+    let clock = Clock::start();
+    let (connection, _queue) = Connection::new();
+    for _ in 0..QUEUE_LIMIT {
+        connection.send(ping(), clock.now()).expect("room");
+    }
+
+    let outcome = connection.run(order(b""), clock.now()).await;
+
+    assert_eq!(outcome, RunOutcome::NotSent(LinkError::Backpressure));
+    let refused = connection.send(ping(), clock.now());
+    assert_eq!(refused, Err(LinkError::Backpressure));
+}
+
+/// Guards against runs written after their deadline, when the queue is long or the process was
+/// paused.
+#[tokio::test]
+async fn an_overdue_run_is_not_written() {
+    let clock = Clock::start();
+    let (connection, mut queue) = Connection::new();
+    let connection = Arc::new(connection);
+    let deadline = clock.now();
+    let waiting = {
+        let connection = Arc::clone(&connection);
+        tokio::spawn(async move { connection.run(order(b""), deadline).await })
+    };
+    let mut batch = vec![queue.recv().await.expect("a queued run")];
+    let mut buf = BytesMut::new();
+
+    connection.encode(&mut batch, &mut buf, clock);
+
+    let outcome = waiting.await.expect("task");
+    assert_eq!(outcome, RunOutcome::NotSent(LinkError::DeadlinePassed));
+    assert!(buf.is_empty());
+}
+
+/// Guards against pings that exceed the control budget at the design size of 3,400 targets, also
+/// when every link wants to ping at once.
+#[test]
+fn pings_stay_within_the_budget() {
+    let budget = PingBudget::new(Millis::new(0));
+    let mut marks: Vec<QuietMark> = (0..3_400).map(|_| QuietMark::new(&budget)).collect();
+    assert_eq!(budget.interval(), Duration::from_secs(1));
+
+    for mark in &mut marks {
+        mark.set(true);
+    }
+    let regular = 3_400.0 * 48.0 / budget.interval().as_secs_f64();
+    let granted = (0..100_000)
+        .filter(|i| budget.take(Millis::new(i / 10)))
+        .count();
+    drop(marks);
+
+    assert!(regular <= 2_048.0, "{regular} bytes a second");
+    // Ten seconds and the full bucket at the start.
+    assert!(granted * 48 <= 11 * 2_048, "{granted} pings in 10 s");
+    assert_eq!(budget.interval(), Duration::from_secs(1));
+}
+
+/// Guards against a target that starts a run late because this process was paused after it had
+/// read the target's clock.
+#[test]
+fn deadlines_on_the_target_clock_are_never_late() {
+    let clock = Clock::start();
+    let link = TargetLink::new(target(), ServiceId::new(1), clock);
+    let load = Load {
+        clock: Millis::new(5_000),
+        ..Load::default()
+    };
+    let before = clock.now();
+    link.take_load(load);
+
+    let deadline = clock.now() + Duration::from_secs(2);
+
+    let converted = link.target_deadline(deadline);
+    let latest = Millis::new(5_000) + deadline.since(before);
+    assert!(converted >= Millis::new(7_000) && converted <= latest);
+    assert_eq!(link.target_deadline(Millis::new(0)), Millis::new(5_000));
+}
+
+fn target() -> Target {
+    Target {
+        id: TargetId::new(1),
+        name: "buzz-1".parse().expect("name"),
+        address: "127.0.0.1:1".parse().expect("address"),
+        zone: "a".parse().expect("zone"),
+        incarnation: Incarnation::new(1),
+        state: TargetState::Active,
+        slots: 2,
+        flows: 10,
+    }
+}
