Apply ingress quotas until the flood is over and measure a flood

In trials the quota grew back between two full rounds, and four more rounds were processed in full before it shrank again, in which the socket's buffer overflowed. The quota is now halved in each full round, grows by 16 in each other one, and applies to all rounds until it has recovered. The recovery test allows 16 short rounds instead of 10, which is the new growth.

--- a/crates/proxy/src/ingress/shares.rs
+++ b/crates/proxy/src/ingress/shares.rs
@@ -8,18 +8,20 @@
 /// the socket's buffer and is worked off.
 const SATURATED_AFTER: u32 = 4;
 /// Smallest quota of a service. With it nearly all time goes into emptying the socket's buffer.
-const LEAST_QUOTA: usize = 4;
+const LEAST_QUOTA: usize = 8;
+/// Growth of the quota after a round that was not full.
+const QUOTA_STEP: usize = 16;
 /// Quota of a service for keepalives, as a multiple of that for other datagrams.
 const KEEPALIVE_FACTOR: usize = 4;
 
 /// Decides which datagrams of a round are processed.
 ///
 /// While rounds are full, datagrams arrive faster than they are processed, and the socket would
-/// drop those of all services alike. Then the quota of each service shrinks round by round until
+/// drop those of all services alike. Then the quota of each service is halved round by round until
 /// the loop empties the socket again, so that only services above their quota lose datagrams.
 #[derive(Debug)]
 pub(super) struct Shares {
-    /// Datagrams of one service that are processed in a full round.
+    /// Datagrams of one service that are processed in a round.
     quota: usize,
     full_rounds: u32,
     used: FastMap<ServiceId, usize>,
@@ -41,14 +43,18 @@
         keep.resize(round.len(), true);
         if round.len() < ROUND {
             self.full_rounds = 0;
-            self.quota = ROUND.min(self.quota * 2);
-            return;
+            self.quota = ROUND.min(self.quota + QUOTA_STEP);
+        } else {
+            self.full_rounds += 1;
+            // Until the quota has recovered, the flood is taken to go on: a few rounds processed
+            // in full would fill the socket's buffer again.
+            if self.quota < ROUND || self.full_rounds >= SATURATED_AFTER {
+                self.quota = LEAST_QUOTA.max(self.quota / 2);
+            }
         }
-        self.full_rounds += 1;
-        if self.full_rounds < SATURATED_AFTER {
+        if self.quota == ROUND {
             return;
         }
-        self.quota = LEAST_QUOTA.max(self.quota * 3 / 4);
         self.used.clear();
         // Keepalives use up the quota first, so that they are dropped last.
         self.mark(round, keep, true, self.quota * KEEPALIVE_FACTOR);
--- a/crates/proxy/src/ingress/tests.rs
+++ b/crates/proxy/src/ingress/tests.rs
@@ -73,7 +73,7 @@
         shares.plan(&full, &mut keep);
     }
     assert!(keep.iter().filter(|k| **k).count() < ROUND / 10);
-    for _ in 0..10 {
+    for _ in 0..16 {
         shares.plan(&short, &mut keep);
     }
     shares.plan(&full, &mut keep);
--- a/crates/standins/examples/forwarding.rs
+++ b/crates/standins/examples/forwarding.rs
@@ -1,18 +1,23 @@
 //! Measures how many datagrams a second one balancer forwards, over a bare tokio UDP relay in the
 //! same run. Both have one worker thread, one client and one echoing end; the client keeps a fixed
-//! number of datagrams on their way.
+//! number of datagrams on their way. Then measures the share of keepalives of one service that are
+//! answered during a flood of another.
 //!
 //! Usage: `cargo run --release --example forwarding [-- SECONDS]`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use miette::{IntoDiagnostic as _, Result, miette};
-use tanager_core::{FlowId, ServiceId};
+use tanager_core::{FlowId, RequestId, ServiceId};
 use tanager_standins::fleet::{Fleet, Plan, any_port, service};
-use tanager_wire::{Datagram, DatagramBody, FlowKind, Keepalive, Open};
+use tanager_wire::{
+    Datagram, DatagramBody, Deadline, FlowKind, FragmentMap, Keepalive, Open, Request,
+};
+use tanagerproxy::Node;
 use tokio::net::UdpSocket;
 use tokio::runtime::{Builder, Runtime};
 use tokio::time::{Instant, timeout};
@@ -23,6 +28,10 @@
 const WINDOW: usize = 256;
 /// Rounds of relay and balancer in turn.
 const ROUNDS: u32 = 3;
+/// Time between two keepalives during the flood.
+const PACE: Duration = Duration::from_millis(1);
+/// Most threads that send the flood.
+const FLOODERS: usize = 3;
 /// A datagram without an answer for this long is replaced.
 const LOSS_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -42,7 +51,10 @@
             .into_diagnostic()??;
         let plan = Plan {
             nodes: 1,
-            services: vec![(service("buzz", 1, "abay"), 2)],
+            services: vec![
+                (service("buzz", 1, "abay"), 2),
+                (service("print", 2, "abay"), 2),
+            ],
             seed: 1,
         };
         let fleet = Fleet::start(plan).await.into_diagnostic()?;
@@ -57,6 +69,9 @@
         }
         println!("bare relay: {:.0} answers/s", relayed / f64::from(ROUNDS));
         println!("balancer:   {:.0} answers/s", forwarded / f64::from(ROUNDS));
+        for threads in 0..=FLOODERS {
+            flood_node(&fleet.nodes[0].node, threads, &client, &datagrams, time).await?;
+        }
         Ok::<f64, miette::Report>(forwarded / relayed)
     })?;
     println!("ratio:      {ratio:.2} (goal: at least 0.7)");
@@ -139,6 +154,95 @@
     Ok((socket, datagrams))
 }
 
+/// Measures the keepalives of service 1 during a flood of service 2 by some threads.
+async fn flood_node(
+    node: &Node,
+    threads: usize,
+    client: &UdpSocket,
+    datagrams: &[Vec<u8>],
+    time: Duration,
+) -> Result<()> {
+    let address = node.callers_address().into_diagnostic()?;
+    let (dropped, received) = (
+        &node.counters().ingress_dropped,
+        &node.counters().datagrams_received,
+    );
+    let before = (dropped.get(), received.get());
+    let stop = Arc::new(AtomicBool::new(false));
+    let flood: Vec<_> = (0..threads)
+        .map(|_| {
+            let stop = Arc::clone(&stop);
+            std::thread::spawn(move || send_flood(address, &stop))
+        })
+        .collect();
+    let share = answered_share(client, datagrams, time).await?;
+    stop.store(true, Ordering::Relaxed);
+    let sent: u64 = flood.into_iter().filter_map(|f| f.join().ok()).sum();
+    println!(
+        "flood by {threads} threads: {sent} sent, {} received, {} above the share; {share:.3} of \
+         the other service's keepalives answered",
+        received.get() - before.1,
+        dropped.get() - before.0
+    );
+    Ok(())
+}
+
+/// Sends keepalives at a fixed pace and returns the share that was answered in time.
+async fn answered_share(socket: &UdpSocket, datagrams: &[Vec<u8>], time: Duration) -> Result<f64> {
+    let mut buf = vec![0; 2_048];
+    tokio::time::sleep(LOSS_TIMEOUT).await;
+    while socket.try_recv(&mut buf).is_ok() {}
+    let (mut sent, mut answered) = (0u32, 0u32);
+    let mut ticks = tokio::time::interval(PACE);
+    let mut next = datagrams.iter().cycle();
+    let end = Instant::now() + time;
+    while Instant::now() < end + LOSS_TIMEOUT {
+        tokio::select! {
+            _ = ticks.tick(), if Instant::now() < end => {
+                if let Some(datagram) = next.next() {
+                    socket.send(datagram).await.into_diagnostic()?;
+                    sent += 1;
+                }
+            }
+            received = timeout(LOSS_TIMEOUT, socket.recv(&mut buf)) => {
+                if let Ok(Ok(size)) = received {
+                    let body = Datagram::decode(&buf[..size]).map(|d| d.body);
+                    answered += u32::from(matches!(body, Ok(DatagramBody::KeepaliveAck(_))));
+                }
+            }
+        }
+    }
+    Ok(f64::from(answered) / f64::from(sent))
+}
+
+/// Sends requests of service 2 as fast as possible. Returns their number.
+fn send_flood(node: SocketAddr, stop: &AtomicBool) -> u64 {
+    let Ok(socket) = std::net::UdpSocket::bind(any_port()) else {
+        return 0;
+    };
+    let mut sent = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let request = DatagramBody::Request(Request {
+            request: RequestId::random(),
+            token: None,
+            repeatable: true,
+            deadline: Deadline::Budget(1_000),
+            answer: 0,
+            have: FragmentMap::default(),
+            body: Bytes::from_static(b"sheet"),
+        });
+        let service = ServiceId::new(2);
+        let datagram = Datagram {
+            service,
+            body: request,
+        };
+        if let Ok(bytes) = datagram.encode() {
+            sent += u64::from(socket.send_to(&bytes, node).is_ok());
+        }
+    }
+    sent
+}
+
 fn encode(body: DatagramBody) -> Result<Vec<u8>> {
     let service = ServiceId::new(1);
     Datagram { service, body }.encode().into_diagnostic()
