Keep feeds through moves, copies and losses, and prove it with a fleet

Faults found: a target that drops a half-open copy of a flow, or does not know it any more after a move, sent a reset that ended the live flow at its caller. A move closed the old placement at once, so a lost token ended the flow. A feed moved before its first update asked to resume from 1. A target number that came back for another service passed the token check and reached the invariant. Copies of one Open at one instance placed the flow on several targets. Leaving instances placed flows.

Change: token, route, Opened and Reset name the placement (binding), and callers ignore the reset of another one. CloseFlow carries the generation. Every sixth keepalive of a flow moves it off a leaving target instead of one in four at random, which bounds the time. Flows of a stopped target move at 6 missed keepalives if the link is overdue too. Each instance places a flow once at a time.

Ruled out: state per flow at the balancers, and moving at once when a target is not in the catalogue in force (a balancer with an old view would move healthy flows).

Stand-ins: wrong_service counts frames after a greeting meant for another target instead of the greeting, which carries no caller's data; unknown_flows is new.

--- a/crates/proxy/src/flow/flows.rs
+++ b/crates/proxy/src/flow/flows.rs
@@ -1,29 +1,27 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use rand::RngExt as _;
-use tanager_core::{Clock, FlowId, Generation, ResultCode, ServiceId, TargetId, invariant};
+use tanager_core::{Clock, FlowId, Generation, ResultCode, ServiceId};
 use tanager_wire::{
-    Close, DatagramBody, FlowKind, Keepalive, KeyRing, Open, Opened, Reset, Route, ToTarget, Token,
-    TokenTarget, raw,
+    Binding, Close, DatagramBody, FlowKind, Keepalive, KeyRing, Open, Opened, Reset, Route,
+    ToTarget, Token, TokenTarget, raw,
 };
 
 use crate::admission::Admission;
-use crate::flow::{CallerSocket, OpenOutcome, PendingOpens};
+use crate::flow::placing::Placing;
+use crate::flow::{CallerSocket, PendingOpens};
 use crate::membership::Membership;
-use crate::routing::{Placement, Router};
+use crate::routing::Router;
 use crate::target::{TargetLink, TargetPool};
 use crate::telemetry::{Counters, Decision, DecisionKind, Log, Part};
 
-/// Targets tried for one flow.
-const ATTEMPT_LIMIT: usize = 3;
-/// Longest wait for a target's answer to an attempt.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
-/// Share of keepalives that move their flow away from a leaving target. With two keepalives a
-/// second this spreads the moves over some seconds.
-const MOVE_SHARE: f64 = 0.25;
+/// Keepalives over which the flows of a leaving target are moved. With two keepalives a second this
+/// spreads the moves over 3 s. A flow whose move failed is tried again after as many.
+const MOVE_SPREAD: u64 = 6;
+/// Unanswered keepalives after which a flow leaves a target that is overdue with other answers too.
+/// The link may not have reached its own limit yet when it carries few flows.
+const SUSPECT_AFTER_MISSED: u32 = 6;
 /// Unanswered keepalives after which a flow leaves an unreachable target.
 const MOVE_AFTER_MISSED: u32 = 2;
 /// Unanswered keepalives after which a flow on a reachable target counts as silent.
@@ -53,26 +51,25 @@
     pub(crate) log: Log,
 }
 
-/// A flow to be placed on a target.
-struct Placing {
-    service: ServiceId,
-    flow: FlowId,
-    caller: SocketAddr,
-    resume_from: u64,
-    generation: Generation,
-    kind: DecisionKind,
-}
-
 impl Flows {
     /// Opens a flow for a caller.
     pub async fn open(self: Arc<Self>, service: ServiceId, open: Open, caller: SocketAddr) {
         let generation = Generation::new(0);
+        if self.membership.is_leaving() {
+            let code = ResultCode::ExecutorLeaving;
+            self.reset(service, open.flow, code, None, caller);
+            return;
+        }
         if open.kind == FlowKind::Session {
             self.confirm(service, open.flow, generation, None, caller);
             return;
         }
+        // A copy of the datagram may be at work on it.
+        let Some(_mark) = self.pending.begin(open.flow) else {
+            return;
+        };
         if let Err(code) = self.admission.admit_flow(service) {
-            self.reset(service, open.flow, code, caller);
+            self.reset(service, open.flow, code, None, caller);
             return;
         }
         let placing = Placing {
@@ -82,13 +79,14 @@
             resume_from: open.resume_from,
             generation,
             kind: DecisionKind::PlaceFlow,
+            reason: "the caller opens the flow",
         };
-        match self.place(&placing, &mut Vec::new()).await {
+        match self.place(&placing, Vec::new()).await {
             Ok(target) => {
                 self.counters.flows_opened.increment();
                 self.confirm(service, open.flow, generation, Some(target), caller);
             }
-            Err(code) => self.reset(service, open.flow, code, caller),
+            Err(code) => self.reset(service, open.flow, code, None, caller),
         }
     }
 
@@ -102,15 +100,19 @@
         let Some(token) = self.check(service, keepalive.flow, &keepalive.token) else {
             return;
         };
-        let Some(target) = token.target else {
-            return;
-        };
-        let link = self
-            .targets
-            .link(target.id)
-            .filter(|l| l.target.incarnation == target.incarnation);
-        match link {
-            Some(link) if link.is_ready() => self.forward(&link, &token, keepalive, caller),
+        let silent = keepalive.missed >= SILENT_AFTER_MISSED;
+        match self.link_of(&token) {
+            Some(link) if keepalive.missed >= SUSPECT_AFTER_MISSED && link.is_suspect() => {
+                self.start_move(token, keepalive, caller, "target does not answer");
+            }
+            Some(link) if link.is_ready() && silent => self.end_silent(&token, caller),
+            Some(link) if link.is_ready() => {
+                self.forward(&link, &token, keepalive, caller);
+                if self.router.is_leaving(&link) && is_move_due(&token, keepalive) {
+                    self.start_move(token, keepalive, caller, "target is leaving");
+                }
+            }
+            _ if token.target.is_none() => {}
             _ if keepalive.missed >= MOVE_AFTER_MISSED => {
                 self.start_move(token, keepalive, caller, "target is unreachable");
             }
@@ -118,36 +120,19 @@
         }
     }
 
-    /// Ends a flow at the caller's wish.
+    /// Ends a placement at the caller's wish.
     pub fn close(&self, service: ServiceId, close: &Close) {
         if let Some(token) = self.check(service, close.flow, &close.token) {
             self.close_at_target(&token, ResultCode::FlowUnknown);
         }
     }
 
-    fn forward(
-        self: &Arc<Self>,
-        link: &Arc<TargetLink>,
-        token: &Token,
-        keepalive: &Keepalive,
-        caller: SocketAddr,
-    ) {
-        invariant!(
-            link.service == token.service,
-            "flow-stays-in-service",
-            "token of service {} reached target {}",
-            token.service,
-            link.target.name
-        );
-        if keepalive.missed >= SILENT_AFTER_MISSED {
-            self.close_at_target(token, ResultCode::FlowSilent);
-            self.reset(token.service, token.flow, ResultCode::FlowSilent, caller);
-            return;
-        }
+    fn forward(&self, link: &TargetLink, token: &Token, keepalive: &Keepalive, caller: SocketAddr) {
         let route = Route {
             caller,
             service: token.service,
             flow: token.flow,
+            binding: token.binding(),
         };
         let Ok(route) = route.seal(&self.keys) else {
             return;
@@ -161,9 +146,19 @@
         if link.send(frame).is_err() {
             self.counters.frames_dropped.increment();
         }
-        if self.router.is_leaving(link) && rand::rng().random_bool(MOVE_SHARE) {
-            self.start_move(*token, keepalive, caller, "target is leaving");
-        }
+    }
+
+    /// Ends a flow that no longer gets answers from a target that answers others.
+    fn end_silent(&self, token: &Token, caller: SocketAddr) {
+        let code = ResultCode::FlowSilent;
+        self.close_at_target(token, code);
+        self.reset(
+            token.service,
+            token.flow,
+            code,
+            Some(token.binding()),
+            caller,
+        );
     }
 
     fn start_move(
@@ -173,101 +168,48 @@
         caller: SocketAddr,
         reason: &'static str,
     ) {
+        // The next keepalive probably reaches an instance that stays.
+        if self.membership.is_leaving() {
+            return;
+        }
         let placing = Placing {
             service: token.service,
             flow: token.flow,
             caller,
-            resume_from: keepalive.acked + 1,
+            // Without any update there is nothing to continue.
+            resume_from: match keepalive.acked {
+                0 => 0,
+                acked => acked + 1,
+            },
             generation: token.generation.next(),
             kind: DecisionKind::MoveFlow,
+            reason,
         };
+        let dead = keepalive.missed >= SILENT_AFTER_MISSED;
         let flows = Arc::clone(self);
-        tokio::spawn(async move { flows.move_flow(token, placing, reason).await });
-    }
-
-    async fn move_flow(&self, token: Token, placing: Placing, reason: &'static str) {
-        let mut excluded: Vec<TargetId> = token.target.iter().map(|t| t.id).collect();
-        if let Ok(target) = self.place(&placing, &mut excluded).await {
-            self.counters.flows_moved.increment();
-            self.log.info(
-                Part::Flow,
-                format_args!("flow {} is moved: {reason}", token.flow),
-            );
-            let caller = placing.caller;
-            self.confirm(
-                token.service,
-                token.flow,
-                placing.generation,
-                Some(target),
-                caller,
-            );
-            self.close_at_target(&token, ResultCode::TargetLeaving);
-        }
-    }
-
-    /// Finds a target that takes the flow, trying several.
-    async fn place(
-        &self,
-        placing: &Placing,
-        excluded: &mut Vec<TargetId>,
-    ) -> Result<TokenTarget, ResultCode> {
-        let mut code = ResultCode::FlowNoTarget;
-        for _ in 0..ATTEMPT_LIMIT {
-            let choice = self
-                .router
-                .choose(placing.service, Placement::Flow, excluded)?;
-            let link = choice.link;
-            let decision = Decision::flow(Part::Flow, placing.kind, placing.service, placing.flow);
-            self.log
-                .decide(decision.because(&link.target.name, choice.inputs, choice.reason));
-            excluded.push(link.target.id);
-            match self.try_target(&link, placing).await {
-                Ok(OpenOutcome::Opened) => {
-                    link.count_opened();
-                    let incarnation = link.target.incarnation;
-                    return Ok(TokenTarget {
-                        id: link.target.id,
-                        incarnation,
-                    });
-                }
-                Ok(OpenOutcome::Refused(refused)) | Err(refused) => code = refused,
-            }
-        }
-        Err(code)
+        tokio::spawn(async move { flows.move_flow(token, placing, dead).await });
     }
 
-    async fn try_target(
-        &self,
-        link: &TargetLink,
-        placing: &Placing,
-    ) -> Result<OpenOutcome, ResultCode> {
-        let target = link.target.id;
-        let receiver = self
-            .pending
-            .register(placing.flow, target)
-            .ok_or(ResultCode::FlowLimit)?;
-        let route = Route {
-            caller: placing.caller,
-            service: placing.service,
-            flow: placing.flow,
+    /// Moves a flow. The old target keeps its placement until the caller, which has adopted the new
+    /// token, closes it, or until it gets no more keepalives: when the new token is lost, the flow
+    /// goes on at the old target.
+    async fn move_flow(&self, token: Token, placing: Placing, dead: bool) {
+        let (service, flow, caller) = (placing.service, placing.flow, placing.caller);
+        // An earlier keepalive may have started the move.
+        let Some(_mark) = self.pending.begin(flow) else {
+            return;
         };
-        let route = route.seal(&self.keys).map_err(|e| e.code())?;
-        let frame = ToTarget::OpenFlow(raw::target::OpenFlow {
-            flow: Bytes::copy_from_slice(placing.flow.as_bytes()),
-            route: route.into(),
-            resume_from: placing.resume_from,
-            generation: placing.generation.get(),
-        });
-        let sent = link.send(frame);
-        if let Err(error) = sent {
-            self.pending.forget(placing.flow, target);
-            return Err(error.code());
-        }
-        let outcome = tokio::time::timeout(OPEN_TIMEOUT, receiver).await;
-        self.pending.forget(placing.flow, target);
-        match outcome {
-            Ok(Ok(outcome)) => Ok(outcome),
-            _ => Err(ResultCode::TargetSilent),
+        let old = token.target.iter().map(|t| t.id).collect();
+        match self.place(&placing, old).await {
+            Ok(target) => {
+                self.counters.flows_moved.increment();
+                self.confirm(service, flow, placing.generation, Some(target), caller);
+            }
+            Err(code) if dead => {
+                self.reset(service, flow, code, Some(token.binding()), caller);
+            }
+            // A later keepalive tries again.
+            Err(_) => {}
         }
     }
 
@@ -288,38 +230,60 @@
             target,
             executor,
         };
-        if let Ok(token) = token.seal(&self.keys) {
-            let issued = self.clock.now();
+        if let Ok(sealed) = token.seal(&self.keys) {
             let opened = Opened {
                 flow,
-                token: token.into(),
-                issued,
+                token: sealed.into(),
+                issued: self.clock.now(),
                 generation,
+                binding: token.binding(),
             };
             self.callers
                 .send(caller, service, DatagramBody::Opened(opened));
         }
     }
 
-    fn reset(&self, service: ServiceId, flow: FlowId, code: ResultCode, caller: SocketAddr) {
+    fn reset(
+        &self,
+        service: ServiceId,
+        flow: FlowId,
+        code: ResultCode,
+        binding: Option<Binding>,
+        caller: SocketAddr,
+    ) {
         self.counters.flows_reset.increment();
         let decision = Decision::flow(Part::Flow, DecisionKind::ResetFlow, service, flow);
         self.log
             .decide(decision.because(code, caller, code.description().trim()));
+        let reset = Reset {
+            flow,
+            code,
+            binding,
+        };
         self.callers
-            .send(caller, service, DatagramBody::Reset(Reset { flow, code }));
+            .send(caller, service, DatagramBody::Reset(reset));
     }
 
     fn close_at_target(&self, token: &Token, code: ResultCode) {
-        let link = token.target.and_then(|t| self.targets.link(t.id));
-        if let Some(link) = link {
+        if let Some(link) = self.link_of(token) {
+            // A lost frame is made up for by the target's limit on time without keepalives.
             let _ = link.send(ToTarget::CloseFlow(raw::target::CloseFlow {
                 flow: Bytes::copy_from_slice(token.flow.as_bytes()),
                 code: u32::from(code.number()),
+                generation: token.generation.get(),
             }));
         }
     }
 
+    /// Returns the link to the token's target, if that target still is what the token says: a number
+    /// may come back with another incarnation or for another service.
+    fn link_of(&self, token: &Token) -> Option<Arc<TargetLink>> {
+        let target = token.target?;
+        self.targets
+            .link(target.id)
+            .filter(|l| l.target.incarnation == target.incarnation && l.service == token.service)
+    }
+
     /// Verifies a token and that it belongs to the datagram's service and flow.
     fn check(&self, service: ServiceId, flow: FlowId, sealed: &Bytes) -> Option<Token> {
         match Token::open(sealed, &self.keys) {
@@ -331,3 +295,9 @@
         }
     }
 }
+
+/// Returns whether this keepalive is the one in [`MOVE_SPREAD`] that moves its flow.
+fn is_move_due(token: &Token, keepalive: &Keepalive) -> bool {
+    let phase = u64::from(token.flow.as_bytes()[0]);
+    (phase + keepalive.number).is_multiple_of(MOVE_SPREAD)
+}
--- a/crates/proxy/src/flow/mod.rs
+++ b/crates/proxy/src/flow/mod.rs
@@ -3,9 +3,13 @@
 mod callers;
 mod flows;
 mod pending;
+mod placing;
 mod return_path;
 
+#[cfg(test)]
+mod tests;
+
 pub use callers::CallerSocket;
 pub use flows::Flows;
-pub use pending::{OpenOutcome, PendingOpens};
+pub use pending::{OpenOutcome, PendingOpens, PlacingMark};
 pub use return_path::ReturnPath;
--- a/crates/proxy/src/flow/return_path.rs
+++ b/crates/proxy/src/flow/return_path.rs
@@ -3,7 +3,9 @@
 
 use bytes::Bytes;
 use tanager_core::FlowId;
-use tanager_wire::{DatagramBody, FromTarget, KeepaliveAck, KeyRing, Reset, Route, Update};
+use tanager_wire::{
+    Binding, DatagramBody, FromTarget, KeepaliveAck, KeyRing, Reset, Route, Update,
+};
 
 use crate::flow::{CallerSocket, OpenOutcome, PendingOpens};
 use crate::target::TargetLink;
@@ -59,7 +61,7 @@
                 let held = UsageEvent::Held(Duration::from_millis(held_ms));
                 self.usage.record(link.service, held);
                 let ack = DatagramBody::KeepaliveAck(KeepaliveAck { flow, number });
-                self.deliver(link, flow, &route, ack);
+                self.deliver(link, flow, &route, |_| ack);
             }
             FromTarget::FlowUpdate {
                 flow,
@@ -74,16 +76,17 @@
                     sequence,
                     payload,
                 });
-                self.deliver(link, flow, &route, update);
+                self.deliver(link, flow, &route, |_| update);
             }
             FromTarget::FlowReset { flow, route, code } => {
                 self.counters.flows_reset.increment();
-                self.deliver(
-                    link,
-                    flow,
-                    &route,
-                    DatagramBody::Reset(Reset { flow, code }),
-                );
+                self.deliver(link, flow, &route, |binding| {
+                    DatagramBody::Reset(Reset {
+                        flow,
+                        code,
+                        binding: Some(binding),
+                    })
+                });
             }
             FromTarget::HelloAck { .. }
             | FromTarget::RunDone { .. }
@@ -94,10 +97,17 @@
 
     /// Sends a datagram along a route that the target repeated. A route of another service or
     /// flow is refused, so that a target cannot reach another service's callers.
-    fn deliver(&self, link: &TargetLink, flow: FlowId, route: &Bytes, body: DatagramBody) {
+    fn deliver(
+        &self,
+        link: &TargetLink,
+        flow: FlowId,
+        route: &Bytes,
+        body: impl FnOnce(Binding) -> DatagramBody,
+    ) {
         match Route::open(route, &self.keys) {
             Ok(route) if route.service == link.service && route.flow == flow => {
-                self.callers.send(route.caller, route.service, body);
+                self.callers
+                    .send(route.caller, route.service, body(route.binding));
             }
             _ => self.counters.tokens_refused.increment(),
         }
--- /dev/null
+++ b/crates/proxy/src/flow/tests.rs
@@ -0,0 +1,32 @@
+use tanager_core::{FlowId, ResultCode, TargetId};
+
+use super::{OpenOutcome, PendingOpens};
+
+/// Guards against copies of an `Open`, or several keepalives of a flow to be moved, that place the
+/// flow on several targets from one instance, and against a flow that can never be placed again.
+#[test]
+fn a_flow_is_placed_once_at_a_time() {
+    let (pending, flow) = (PendingOpens::default(), FlowId::random());
+
+    let mark = pending.begin(flow);
+
+    assert!(mark.is_some());
+    assert!(pending.begin(flow).is_none());
+    assert!(pending.begin(FlowId::random()).is_some());
+    drop(mark);
+    assert!(pending.begin(flow).is_some());
+}
+
+/// Guards against an answer that ends the attempt at another target.
+#[test]
+fn answers_end_only_their_own_attempt() {
+    let (pending, flow) = (PendingOpens::default(), FlowId::random());
+    let mut first = pending.register(flow, TargetId::new(1));
+    let mut second = pending.register(flow, TargetId::new(2));
+
+    let refused = OpenOutcome::Refused(ResultCode::FlowTargetFull);
+    pending.complete(flow, TargetId::new(2), refused);
+
+    assert!(first.try_recv().is_err());
+    assert_eq!(second.try_recv(), Ok(refused));
+}
--- a/crates/proxy/src/target/mod.rs
+++ b/crates/proxy/src/target/mod.rs
@@ -8,6 +8,8 @@
 mod run;
 mod session;
 
+#[cfg(test)]
+mod session_tests;
 #[cfg(test)]
 mod tests;
 
--- a/crates/proxy/src/target/pool.rs
+++ b/crates/proxy/src/target/pool.rs
@@ -76,7 +76,8 @@
                     tokio::spawn(Arc::clone(&self.sessions).keep(Arc::clone(&link)));
                     link
                 });
-                link.retry.notify_waiters();
+                // Also kept for a task that is still finding the mismatch out.
+                link.retry.notify_one();
                 links.insert(target.id, link);
             }
         }
--- a/crates/proxy/src/target/session.rs
+++ b/crates/proxy/src/target/session.rs
@@ -26,7 +26,7 @@
 const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
 /// Longest time for connecting, for the exchange of identities, for one batched write, and
 /// between a frame and the first sign of the target after it.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+pub(super) const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 /// Time between two looks at a connection on which an answer is awaited.
 const AWAITING_TICK: Duration = Duration::from_millis(250);
 /// Time between two looks at other connections.
@@ -279,7 +279,7 @@
 }
 
 /// Writes waiting frames, several at a time, until the connection fails.
-async fn write(
+pub(super) async fn write(
     connection: &Connection,
     queue: &mut mpsc::Receiver<Outgoing>,
     mut writer: impl AsyncWrite + Unpin,
--- /dev/null
+++ b/crates/proxy/src/target/session_tests.rs
@@ -0,0 +1,121 @@
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tanager_core::{Clock, Incarnation, ServiceId, TargetId};
+use tanager_wire::{FromTarget, KeyNumber, KeyRing, Load, Secret, ToTarget, encode_frame, raw};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::TargetPool;
+use super::session::SILENCE_LIMIT;
+use crate::Identity;
+use crate::catalogue::Catalogue;
+use crate::flow::{CallerSocket, PendingOpens, ReturnPath};
+use crate::peer::TcpNetwork;
+use crate::telemetry::{Counters, Log};
+use crate::usage::Usage;
+
+/// Time until the fake target answers; this process is paused by then.
+const ANSWER_DELAY: Duration = Duration::from_millis(500);
+
+fn catalogue(address: SocketAddr) -> Catalogue {
+    let text = format!(
+        "revision: 1\n\
+         owners:\n\
+         - {{ name: abay, limits: {{ requests: 4000/s, flows: 28000 }} }}\n\
+         entries:\n\
+         - service: buzz\n  number: 1\n  owner: abay\n  class: urgent\n\
+         \x20 limits: {{ requests: 2000/s, minimum: 500/s, flows: 28000, queue: 256 }}\n\
+         \x20 targets:\n\
+         \x20 - {{ name: buzz-1, number: 1, address: {address}, zone: addis-a, incarnation: 1, state: active, slots: 2, flows: 2000 }}\n"
+    );
+    Catalogue::read(&text).expect("catalogue")
+}
+
+async fn pool() -> TargetPool {
+    let (clock, counters) = (Clock::start(), Arc::<Counters>::default());
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("socket");
+    let return_path = ReturnPath::new(
+        KeyRing::new((KeyNumber::new(1), Secret::new([1; 32])), None),
+        CallerSocket::new(Arc::new(socket), Arc::clone(&counters)),
+        Arc::<PendingOpens>::default(),
+        Arc::<Usage>::default(),
+        Arc::clone(&counters),
+    );
+    let identity = Identity {
+        name: "node-1".parse().expect("name"),
+        zone: "addis-a".parse().expect("zone"),
+        region: "addis".parse().expect("region"),
+        incarnation: Incarnation::new(1),
+        address: "127.0.0.1:1".parse().expect("address"),
+    };
+    let (network, path, log) = (
+        Arc::new(TcpNetwork),
+        Arc::new(return_path),
+        Log::discard(clock),
+    );
+    TargetPool::new(identity, network, path, counters, clock, log)
+}
+
+fn write_frame(stream: &mut std::net::TcpStream, frame: FromTarget) {
+    let mut buf = BytesMut::new();
+    encode_frame(&raw::target::FromTarget::from(frame), &mut buf).expect("frame");
+    stream.write_all(&buf).expect("write");
+}
+
+/// Accepts one connection only and answers the first ping late.
+fn fake_target(listener: &TcpListener) {
+    let (mut stream, _) = listener.accept().expect("connection");
+    let mut buf = [0; 1_024];
+    let _hello = stream.read(&mut buf).expect("hello");
+    let load = Load::default();
+    write_frame(
+        &mut stream,
+        FromTarget::HelloAck {
+            service: ServiceId::new(1),
+            target: TargetId::new(1),
+            incarnation: Incarnation::new(1),
+            load,
+        },
+    );
+    let _ping = stream.read(&mut buf).expect("ping");
+    std::thread::sleep(ANSWER_DELAY);
+    write_frame(&mut stream, FromTarget::Pong { number: 1, load });
+    // Holds the connection until the other side closes it.
+    while matches!(stream.read(&mut buf), Ok(size) if size > 0) {}
+}
+
+/// Guards against a process that closes its links after a pause, although the answers that it
+/// awaited wait in the sockets.
+#[tokio::test]
+async fn a_resumed_process_reads_before_it_judges_silence() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address");
+    let target = std::thread::spawn(move || fake_target(&listener));
+    let pool = pool().await;
+    pool.reconcile(&catalogue(address));
+    let link = pool.link(TargetId::new(1)).expect("link");
+    for _ in 0..500 {
+        if link.is_ready() {
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    let ping = ToTarget::Ping(raw::target::Ping { number: 1 });
+    link.send(ping).expect("ready");
+    // Less than the answer's delay, and enough for the ping to be written.
+    sleep(ANSWER_DELAY / 5).await;
+
+    // Blocks the only thread of the runtime.
+    std::thread::sleep(SILENCE_LIMIT + Duration::from_secs(1));
+    sleep(ANSWER_DELAY / 5).await;
+
+    // The target takes no second connection.
+    assert!(link.is_ready());
+    drop(pool);
+    sleep(ANSWER_DELAY / 5).await;
+    target.join().expect("target");
+}
--- a/crates/proxy/src/target/tests.rs
+++ b/crates/proxy/src/target/tests.rs
@@ -2,11 +2,12 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use tanager_core::{Clock, Incarnation, Millis, ServiceId, TargetId};
+use tanager_core::{Clock, Incarnation, Millis, ResultCode, ServiceId, TargetId};
 use tanager_wire::{Load, ToTarget, raw};
 
 use super::connection::{Connection, QUEUE_LIMIT};
 use super::ping::{PingBudget, QuietMark};
+use super::session::{SILENCE_LIMIT, write};
 use super::{LinkError, RunOutcome, TargetLink};
 use crate::catalogue::{Target, TargetState};
 
@@ -89,9 +90,31 @@
 
     connection.encode(&mut batch, &mut buf, clock);
 
+    assert!(buf.is_empty());
     let outcome = waiting.await.expect("task");
     assert_eq!(outcome, RunOutcome::NotSent(LinkError::DeadlinePassed));
-    assert!(buf.is_empty());
+}
+
+/// Guards against a stopped peer that blocks a link for ever, with the runs behind it.
+#[tokio::test]
+async fn a_write_to_a_stopped_peer_ends() {
+    let clock = Clock::start();
+    let (connection, mut queue) = Connection::new();
+    let connection = Arc::new(connection);
+    let (writer, _unread) = tokio::io::duplex(64);
+    let running = {
+        let connection = Arc::clone(&connection);
+        let deadline = clock.now() + Duration::from_mins(1);
+        tokio::spawn(async move { connection.run(order(&[0; 1_000]), deadline).await })
+    };
+    settle().await;
+
+    let writing = write(&connection, &mut queue, writer, clock);
+    let end = tokio::time::timeout(10 * SILENCE_LIMIT, writing).await;
+    connection.close(&mut queue);
+
+    assert_eq!(end, Ok(ResultCode::TargetSilent));
+    assert_eq!(running.await.expect("task"), RunOutcome::Lost);
 }
 
 /// Guards against pings that exceed the control budget at the design size of 3,400 targets, also
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use tanager_core::{FastMap, FlowId, Millis, RequestId, ResultCode, RunState, ServiceId};
 use tanager_wire::{
-    Assembly, Cancel, Close, Datagram, DatagramBody, Deadline, FlowKind, FragmentMap, Keepalive,
-    Open, Request,
+    Assembly, Binding, Cancel, Close, Datagram, DatagramBody, Deadline, FlowKind, FragmentMap,
+    Keepalive, Open, Request,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -17,6 +17,8 @@
 
 /// Time between repeated opens and requests that got no reply.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Wait after a refusal by a leaving instance.
+const LEAVING_PAUSE: Duration = Duration::from_millis(20);
 /// Time between keepalives.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// A feed that heard nothing for this long counts as broken.
@@ -54,6 +56,7 @@
     token: Bytes,
     issued: Millis,
     received: Instant,
+    binding: Binding,
 }
 
 /// What became of a feed.
@@ -125,10 +128,17 @@
                         token: opened.token,
                         issued: opened.issued,
                         received,
+                        binding: opened.binding,
                     };
                     return Ok((inbox, session));
                 }
-                Ok(Some(DatagramBody::Reset(reset))) => return Err(reset.code),
+                Ok(Some(DatagramBody::Reset(reset))) if reset.binding.is_none() => {
+                    if reset.code != ResultCode::ExecutorLeaving {
+                        return Err(reset.code);
+                    }
+                    // Another instance may take the flow.
+                    tokio::time::sleep(LEAVING_PAUSE).await;
+                }
                 _ => {}
             }
         }
@@ -215,7 +225,7 @@
                 continue;
             };
             report.opened = true;
-            let mut feed = OpenFeed::new(inbox, session.token, next);
+            let mut feed = OpenFeed::new(inbox, session, next);
             let held = feed.hold(self, end, &mut report).await;
             next = feed.next;
             match held {
@@ -326,6 +336,7 @@
 struct OpenFeed {
     inbox: Inbox,
     token: Bytes,
+    binding: Binding,
     generation: u32,
     /// Next sequence number expected in order; 0 until the first update.
     next: u64,
@@ -338,11 +349,12 @@
 }
 
 impl OpenFeed {
-    fn new(inbox: Inbox, token: Bytes, next: u64) -> Self {
+    fn new(inbox: Inbox, session: Session, next: u64) -> Self {
         let now = Instant::now();
         Self {
             inbox,
-            token,
+            token: session.token,
+            binding: session.binding,
             generation: 0,
             next,
             early: std::collections::BTreeSet::new(),
@@ -358,13 +370,18 @@
         loop {
             tokio::select! {
                 body = self.inbox.receiver.recv() => match body {
-                    Some(DatagramBody::Reset(_)) | None => return Held::Broken,
-                    Some(body) => self.take(body, report),
+                    Some(DatagramBody::Reset(reset)) => {
+                        // Other placements come from copies of an `Open` or from earlier moves.
+                        if reset.binding == Some(self.binding) {
+                            return Held::Broken;
+                        }
+                    }
+                    Some(body) => self.take(caller, body, report).await,
+                    None => return Held::Broken,
                 },
                 _ = ticks.tick() => {
                     if Instant::now() >= end {
-                        let (flow, token) = (FlowId::new(self.inbox.id), self.token.clone());
-                        caller.send(DatagramBody::Close(Close { flow, token })).await;
+                        self.close(caller, self.token.clone()).await;
                         return Held::Ended;
                     }
                     if self.heard.elapsed() > SILENCE_LIMIT {
@@ -390,14 +407,23 @@
         caller.send(DatagramBody::Keepalive(keepalive)).await;
     }
 
-    fn take(&mut self, body: DatagramBody, report: &mut FeedReport) {
+    async fn close(&self, caller: &Caller, token: Bytes) {
+        let flow = FlowId::new(self.inbox.id);
+        caller
+            .send(DatagramBody::Close(Close { flow, token }))
+            .await;
+    }
+
+    async fn take(&mut self, caller: &Caller, body: DatagramBody, report: &mut FeedReport) {
         self.heard = Instant::now();
         match body {
             DatagramBody::KeepaliveAck(_) => self.missed = 0,
             DatagramBody::Opened(opened) if opened.generation.get() > self.generation => {
                 self.generation = opened.generation.get();
-                self.token = opened.token;
+                self.binding = opened.binding;
                 report.moves += 1;
+                let old = std::mem::replace(&mut self.token, opened.token);
+                self.close(caller, old).await;
             }
             DatagramBody::Update(update) => self.take_update(update.sequence, report),
             _ => {}
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -23,6 +23,7 @@
 struct Feed {
     route: Bytes,
     connection: u64,
+    generation: u32,
     /// Sequence number of the newest update sent.
     sent: u64,
     heard: Millis,
@@ -76,10 +77,17 @@
         self.lock().feeds.clear();
     }
 
-    pub(crate) fn close(&self, flow: &Bytes) {
-        if let Ok(flow) = FlowId::try_from(flow.as_ref()) {
-            self.lock().feeds.remove(&flow);
+    /// Ends a feed, unless it has been placed here again since. Returns whether the feed is known.
+    pub(crate) fn close(&self, close: &raw::target::CloseFlow) -> bool {
+        let Ok(flow) = FlowId::try_from(close.flow.as_ref()) else {
+            return false;
+        };
+        let mut state = self.lock();
+        let generation = state.feeds.get(&flow).map(|f| f.generation);
+        if generation.is_some_and(|g| g <= close.generation) {
+            state.feeds.remove(&flow);
         }
+        generation.is_some()
     }
 
     pub(crate) fn open(
@@ -114,6 +122,7 @@
         let feed = Feed {
             route: route.clone(),
             connection,
+            generation: open.generation,
             sent,
             heard: shared.clock.now(),
         };
@@ -140,6 +149,7 @@
         let route = keepalive.route.clone();
         let mut state = self.lock();
         let Some(feed) = state.feeds.get_mut(&flow) else {
+            shared.count_unknown_flow();
             return vec![FromTarget::FlowReset {
                 flow,
                 route,
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -85,8 +85,11 @@
     pub shed: u64,
     /// Feeds opened.
     pub flows_opened: u64,
-    /// Frames meant for another service or target.
+    /// Frames after a greeting that was meant for another service, target or incarnation. The
+    /// greeting itself carries no caller's data and is how a balancer finds out.
     pub wrong_service: u64,
+    /// Keepalives and closes of flows that it does not have.
+    pub unknown_flows: u64,
     /// New work that arrived after the drain's grace.
     pub new_work_after_leave: u64,
     /// Requests started after their deadline.
@@ -228,7 +231,12 @@
         }
     });
     let mut frames = FrameReader::default();
-    let connection = Connection { id, sender, shared };
+    let connection = Connection {
+        id,
+        sender,
+        shared,
+        greeted: AtomicBool::new(false),
+    };
     while let Ok(size) = reader.read_buf(frames.buffer()).await {
         while let Ok(Some(frame)) = frames.read_frame() {
             connection.take_frame(frame, &mut tasks);
@@ -246,6 +254,8 @@
     id: u64,
     sender: mpsc::UnboundedSender<FromTarget>,
     shared: Arc<Shared>,
+    /// Whether the balancer has greeted this target and no other.
+    greeted: AtomicBool,
 }
 
 impl Connection {
@@ -255,12 +265,15 @@
             return;
         };
         let shared = &self.shared;
+        if !matches!(frame, ToTarget::Hello(_)) && !self.greeted.load(Ordering::Relaxed) {
+            shared.lock_record().wrong_service += 1;
+        }
         match frame {
             ToTarget::Hello(hello) => {
                 let options = &shared.options;
-                if (hello.service, hello.target) != (options.service, options.number) {
-                    shared.lock_record().wrong_service += 1;
-                }
+                let meant = (hello.service, hello.target, hello.target_incarnation);
+                let own = (options.service, options.number, options.incarnation);
+                self.greeted.store(meant == own, Ordering::Relaxed);
                 self.send(FromTarget::HelloAck {
                     service: tanager_core::ServiceId::new(options.service),
                     target: tanager_core::TargetId::new(options.number),
@@ -277,7 +290,11 @@
                     self.send(frame);
                 }
             }
-            ToTarget::CloseFlow(close) => shared.feeds.close(&close.flow),
+            ToTarget::CloseFlow(close) => {
+                if !shared.feeds.close(&close) {
+                    shared.count_unknown_flow();
+                }
+            }
             ToTarget::Run(run) => {
                 shared.count_new_work();
                 tasks.spawn(run_request(
@@ -392,6 +409,10 @@
         self.lock_record().flows_opened += 1;
     }
 
+    pub(crate) fn count_unknown_flow(&self) {
+        self.lock_record().unknown_flows += 1;
+    }
+
     fn count_new_work(&self) {
         let left_at = self.left_at.load(Ordering::Relaxed);
         if left_at > 0 && self.clock.now().since(Millis::new(left_at)) > DRAIN_GRACE {
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -3,7 +3,7 @@
 use tanager_core::{FlowId, Generation, Millis, RequestId, ResultCode, RunState, ServiceId};
 
 use crate::raw::caller as raw;
-use crate::{Error, FragmentMap, Result};
+use crate::{Binding, Error, FragmentMap, Result};
 
 /// The protocol version of every datagram.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -141,6 +141,8 @@
     pub issued: Millis,
     /// Counts the moves of the flow.
     pub generation: Generation,
+    /// Identifies the placement.
+    pub binding: Binding,
 }
 
 /// Confirms a keepalive.
@@ -170,6 +172,9 @@
     pub flow: FlowId,
     /// The reason.
     pub code: ResultCode,
+    /// The placement that ended; absent when an `Open` is refused. The reset of a placement that
+    /// the caller does not use must be ignored: copies of an `Open` or a move may have created it.
+    pub binding: Option<Binding>,
 }
 
 /// Carries one fragment of an answer.
@@ -315,6 +320,7 @@
                 token: m.token,
                 issued: Millis::new(m.issued_ms),
                 generation: Generation::new(m.generation),
+                binding: Binding::new(m.binding),
             }),
             Raw::KeepaliveAck(m) => Self::KeepaliveAck(KeepaliveAck {
                 flow: flow_id(&m.flow)?,
@@ -328,6 +334,7 @@
             Raw::Reset(m) => Self::Reset(Reset {
                 flow: flow_id(&m.flow)?,
                 code: result_code(m.code)?,
+                binding: (m.binding > 0).then_some(Binding::new(m.binding)),
             }),
             Raw::Answer(m) => Self::Answer(m.try_into()?),
             Raw::Refusal(m) => Self::Refusal(m.try_into()?),
@@ -434,6 +441,7 @@
                 token: m.token,
                 issued_ms: m.issued.get(),
                 generation: m.generation.get(),
+                binding: m.binding.get(),
             }),
             DatagramBody::KeepaliveAck(m) => Self::KeepaliveAck(raw::KeepaliveAck {
                 flow: id_bytes(m.flow.as_bytes()),
@@ -447,6 +455,7 @@
             DatagramBody::Reset(m) => Self::Reset(raw::Reset {
                 flow: id_bytes(m.flow.as_bytes()),
                 code: u32::from(m.code.number()),
+                binding: m.binding.map_or(0, Binding::get),
             }),
             DatagramBody::Answer(m) => Self::Answer(m.into()),
             DatagramBody::Refusal(m) => Self::Refusal(m.into()),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,7 +36,7 @@
 pub use route::Route;
 pub use seal::{KeyNumber, KeyRing, SECRET_LENGTH, Secret};
 pub use target::{FromTarget, Load, ToTarget};
-pub use token::{Executor, Token, TokenTarget};
+pub use token::{Binding, Executor, Token, TokenTarget};
 
 #[cfg(test)]
 mod tests;
--- a/crates/wire/src/route.rs
+++ b/crates/wire/src/route.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::{FlowId, ServiceId};
 
-use crate::{Error, KeyRing, Result};
+use crate::{Binding, Error, KeyRing, Result};
 
 const PURPOSE: u8 = 2;
 
@@ -17,6 +17,8 @@
     pub service: ServiceId,
     /// Frames are delivered only for this flow.
     pub flow: FlowId,
+    /// The placement, named in a reset by the target.
+    pub binding: Binding,
 }
 
 impl Route {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -3,8 +3,8 @@
 use tanager_core::{FlowId, Generation, Incarnation, RequestId, ServiceId, TargetId};
 
 use crate::{
-    Answer, Assembly, Datagram, Error, Executor, FrameReader, KeyNumber, KeyRing, Route, Secret,
-    Token, TokenTarget, encode_frame, raw, split_answer,
+    Answer, Assembly, Binding, Datagram, Error, Executor, FrameReader, KeyNumber, KeyRing, Route,
+    Secret, Token, TokenTarget, encode_frame, raw, split_answer,
 };
 
 fn key_ring(number: u8, fill: u8) -> KeyRing {
@@ -63,6 +63,7 @@
         caller: "127.0.0.1:9".parse().expect("address"),
         service: ServiceId::new(1),
         flow: FlowId::new([7; 16]),
+        binding: Binding::new(1),
     };
     let sealed = route.seal(&keys).expect("seal");
 
--- a/crates/wire/src/token.rs
+++ b/crates/wire/src/token.rs
@@ -25,6 +25,32 @@
     pub incarnation: Incarnation,
 }
 
+/// Identifies one placement of a flow: its generation and target. Never 0.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Binding(u64);
+
+impl Binding {
+    /// Wraps a received number.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the placement of the given generation at a target.
+    #[must_use]
+    pub fn of(generation: Generation, target: Option<TargetId>) -> Self {
+        let target = target.map_or(0, TargetId::get);
+        Self((u64::from(generation.get()) + 1) << 32 | u64::from(target))
+    }
+
+    /// Returns the number.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
+
 /// What a balancer hands to a caller so that any balancer can forward the flow without state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Token {
@@ -41,6 +67,12 @@
 }
 
 impl Token {
+    /// Returns the placement that the token stands for.
+    #[must_use]
+    pub fn binding(&self) -> Binding {
+        Binding::of(self.generation, self.target.map(|t| t.id))
+    }
+
     /// Encodes and signs the token.
     ///
     /// # Errors
