Keep a target's connection when only its state or limits change

reconcile kept the old link with its old entry, so a changed number of slots was not seen by users of link.target. The link is now relisted: a new TargetLink with the new entry shares connection, load and task with the old one. Ruled out: a new connection for each changed entry, which would break the return path of all its feeds when a drain is published.

--- a/crates/proxy/src/target/link.rs
+++ b/crates/proxy/src/target/link.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -21,30 +21,32 @@
 pub struct LoadView {
     /// The target's last report.
     pub load: Load,
+    /// When it was read, on this instance's clock.
+    pub at: Millis,
     /// Feeds that this instance has sent to the target since that report.
     pub opened: u32,
 }
 
-#[derive(Debug, Default)]
-struct LoadState {
-    view: LoadView,
-    /// When the report was read, on this instance's clock.
-    read: Millis,
-}
-
 /// The link to one target as published in the catalogue.
 #[derive(Debug)]
 pub struct TargetLink {
-    /// The target. The catalogue in force may list another state or other limits; service,
-    /// address and incarnation are the same.
+    /// The target as listed.
     pub target: Target,
     /// The only service whose packets are sent over this link.
     pub service: ServiceId,
     clock: Clock,
+    state: Arc<LinkState>,
+}
+
+/// What stays when a target is listed with another state or other limits.
+#[derive(Debug)]
+pub(super) struct LinkState {
     /// Present from the checked `HelloAck` to the end of the connection.
     connection: ArcSwapOption<Connection>,
-    load: Mutex<LoadState>,
+    load: Mutex<LoadView>,
     mismatched: AtomicBool,
+    /// When the connection became ready, on this instance's clock.
+    ready_since: AtomicU64,
     /// Wakes the link's task after an identity mismatch.
     pub(super) retry: Notify,
     /// Ends the link's task.
@@ -53,34 +55,65 @@
 
 impl TargetLink {
     pub(super) fn new(target: Target, service: ServiceId, clock: Clock) -> Self {
-        Self {
-            target,
-            service,
-            clock,
+        let state = Arc::new(LinkState {
             connection: ArcSwapOption::empty(),
             load: Mutex::default(),
             mismatched: AtomicBool::new(false),
+            ready_since: AtomicU64::new(0),
             retry: Notify::new(),
             stop: CancellationToken::new(),
+        });
+        Self {
+            target,
+            service,
+            clock,
+            state,
+        }
+    }
+
+    /// Returns the link for a target that is listed with other details. Service, address and
+    /// incarnation must be the same; the connection stays.
+    pub(super) fn relist(&self, target: Target) -> Self {
+        Self {
+            target,
+            service: self.service,
+            clock: self.clock,
+            state: Arc::clone(&self.state),
         }
     }
 
+    pub(super) const fn state(&self) -> &Arc<LinkState> {
+        &self.state
+    }
+
+    /// Returns when the connection became ready, on this instance's clock.
+    #[must_use]
+    pub fn ready_since(&self) -> Millis {
+        Millis::new(self.state.ready_since.load(Ordering::Relaxed))
+    }
+
+    /// Returns the age of the target's last report.
+    #[must_use]
+    pub fn report_age(&self) -> Duration {
+        self.clock.now().since(self.load().at)
+    }
+
     /// Returns whether there is a connection on which the target has proved its identity.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.connection.load().is_some()
+        self.state.connection.load().is_some()
     }
 
     /// Returns whether another process answered at the target's address.
     #[must_use]
     pub fn is_mismatched(&self) -> bool {
-        self.mismatched.load(Ordering::Relaxed)
+        self.state.mismatched.load(Ordering::Relaxed)
     }
 
     /// Returns whether the target is overdue with an answer.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
-        let connection = self.connection.load();
+        let connection = self.state.connection.load();
         let awaiting = connection.as_ref().and_then(|c| c.awaiting());
         awaiting.is_some_and(|since| self.clock.now().since(since) >= SUSPECT_AFTER)
     }
@@ -88,20 +121,20 @@
     /// Returns the target's load.
     #[must_use]
     pub fn load(&self) -> LoadView {
-        self.lock_load().view
+        *self.lock_load()
     }
 
     /// Returns the runs that have not ended.
     #[must_use]
     pub fn inflight(&self) -> u32 {
-        let connection = self.connection.load();
+        let connection = self.state.connection.load();
         let runs = connection.as_ref().map_or(0, |c| c.inflight());
         u32::try_from(runs).unwrap_or(u32::MAX)
     }
 
     /// Counts a feed that was sent to the target and is not in its report yet.
     pub fn count_opened(&self) {
-        self.lock_load().view.opened += 1;
+        self.lock_load().opened += 1;
     }
 
     /// Queues a frame without waiting.
@@ -110,14 +143,14 @@
     ///
     /// Returns an error if there is no checked connection or its queue is full.
     pub fn send(&self, frame: ToTarget) -> Result<(), LinkError> {
-        let connection = self.connection.load();
+        let connection = self.state.connection.load();
         let connection = connection.as_ref().ok_or(LinkError::Disconnected)?;
         connection.send(frame, self.clock.now())
     }
 
     /// Runs a request and waits for its end.
     pub async fn run(&self, order: RunOrder) -> RunOutcome {
-        let Some(connection) = self.connection.load_full() else {
+        let Some(connection) = self.state.connection.load_full() else {
             return RunOutcome::NotSent(LinkError::Disconnected);
         };
         let frame = raw::target::Run {
@@ -133,25 +166,35 @@
     /// Converts a deadline to the target's clock. The target read its clock before the report was
     /// read here, so the result can only be too early.
     pub(super) fn target_deadline(&self, deadline: Millis) -> Millis {
-        let state = self.lock_load();
-        state.view.load.clock + deadline.since(state.read)
+        let view = self.lock_load();
+        view.load.clock + deadline.since(view.at)
     }
 
     pub(super) fn take_load(&self, load: Load) {
-        let read = self.clock.now();
-        let view = LoadView { load, opened: 0 };
-        *self.lock_load() = LoadState { view, read };
+        let at = self.clock.now();
+        *self.lock_load() = LoadView {
+            load,
+            at,
+            opened: 0,
+        };
     }
 
     pub(super) fn set_connection(&self, connection: Option<Arc<Connection>>) {
-        self.connection.store(connection);
+        if connection.is_some() {
+            let now = self.clock.now().get();
+            self.state.ready_since.store(now, Ordering::Relaxed);
+        }
+        self.state.connection.store(connection);
     }
 
     pub(super) fn set_mismatched(&self, mismatched: bool) {
-        self.mismatched.store(mismatched, Ordering::Relaxed);
+        self.state.mismatched.store(mismatched, Ordering::Relaxed);
     }
 
-    fn lock_load(&self) -> MutexGuard<'_, LoadState> {
-        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock_load(&self) -> MutexGuard<'_, LoadView> {
+        self.state
+            .load
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/proxy/src/target/pool.rs
+++ b/crates/proxy/src/target/pool.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use tanager_core::{Clock, FastMap, TargetId};
+use tanager_core::{Clock, FastMap, ServiceId, TargetId};
 
 use crate::Identity;
-use crate::catalogue::Catalogue;
+use crate::catalogue::{Catalogue, Target};
 use crate::flow::ReturnPath;
 use crate::peer::Network;
 use crate::target::TargetLink;
@@ -70,31 +70,40 @@
                         && l.target.address == target.address
                         && l.target.incarnation == target.incarnation
                 });
-                let link = kept.cloned().unwrap_or_else(|| {
-                    let clock = self.sessions.clock;
-                    let link = Arc::new(TargetLink::new(target.clone(), entry.service, clock));
-                    tokio::spawn(Arc::clone(&self.sessions).keep(Arc::clone(&link)));
-                    link
-                });
+                let link = match kept {
+                    Some(link) if link.target == *target => Arc::clone(link),
+                    Some(link) => Arc::new(link.relist(target.clone())),
+                    None => self.start(target, entry.service),
+                };
                 // Also kept for a task that is still finding the mismatch out.
-                link.retry.notify_one();
+                link.state().retry.notify_one();
                 links.insert(target.id, link);
             }
         }
         self.links.store(Arc::new(links));
         let links = self.links.load();
         for (id, link) in old.iter() {
-            if !links.get(id).is_some_and(|kept| Arc::ptr_eq(kept, link)) {
-                link.stop.cancel();
+            let kept = links.get(id);
+            if !kept.is_some_and(|k| Arc::ptr_eq(k.state(), link.state())) {
+                link.state().stop.cancel();
             }
         }
     }
 }
 
+impl TargetPool {
+    fn start(&self, target: &Target, service: ServiceId) -> Arc<TargetLink> {
+        let link = TargetLink::new(target.clone(), service, self.sessions.clock);
+        let link = Arc::new(link);
+        tokio::spawn(Arc::clone(&self.sessions).keep(Arc::clone(&link)));
+        link
+    }
+}
+
 impl Drop for TargetPool {
     fn drop(&mut self) {
         for link in self.links.load().values() {
-            link.stop.cancel();
+            link.state().stop.cancel();
         }
     }
 }
--- a/crates/proxy/src/target/session.rs
+++ b/crates/proxy/src/target/session.rs
@@ -62,7 +62,7 @@
         let mut backoff = SHORTEST_BACKOFF;
         loop {
             let end = tokio::select! {
-                () = link.stop.cancelled() => return,
+                () = link.state().stop.cancelled() => return,
                 end = self.connect(&link) => end,
             };
             backoff = match end {
@@ -72,8 +72,8 @@
             self.report(&link, end);
             let jitter = rand::rng().random_range(0.5..1.0);
             tokio::select! {
-                () = link.stop.cancelled() => return,
-                () = link.retry.notified(), if end == End::Mismatch => {}
+                () = link.state().stop.cancelled() => return,
+                () = link.state().retry.notified(), if end == End::Mismatch => {}
                 () = sleep(backoff.mul_f64(jitter)), if end != End::Mismatch => {}
             }
         }
--- a/crates/proxy/src/target/session_tests.rs
+++ b/crates/proxy/src/target/session_tests.rs
@@ -89,7 +89,7 @@
 }
 
 /// Guards against a process that closes its links after a pause, although the answers that it
-/// awaited wait in the sockets.
+/// awaited wait in the sockets, and against a change of limits that closes links.
 #[tokio::test]
 async fn a_resumed_process_reads_before_it_judges_silence() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
@@ -106,6 +106,14 @@
     }
     let ping = ToTarget::Ping(raw::target::Ping { number: 1 });
     link.send(ping).expect("ready");
+    // Other limits do not break the connection.
+    let mut relisted = catalogue(address);
+    let entry = relisted.entries.get_mut(&ServiceId::new(1));
+    entry.expect("entry").targets[0].slots = 7;
+    pool.reconcile(&relisted);
+    let link = pool.link(TargetId::new(1)).expect("link");
+    assert!(link.is_ready());
+    assert_eq!(link.target.slots, 7);
     // Less than the answer's delay, and enough for the ping to be written.
     sleep(ANSWER_DELAY / 5).await;
 
