--- a/crates/proxy/src/flow/flows.rs
+++ b/crates/proxy/src/flow/flows.rs
@@ -68,7 +68,12 @@
         let Some(_mark) = self.pending.begin(open.flow) else {
             return;
         };
-        if let Err(code) = self.admission.admit_flow(service) {
+        if let Err(refused) = self.admission.admit_flow(service) {
+            let kind = DecisionKind::ResetFlow;
+            let decision = Decision::flow(Part::Admission, kind, service, open.flow);
+            let code = refused.code;
+            self.log
+                .decide(decision.because(code, refused.inputs, refused.reason));
             self.reset(service, open.flow, code, None, caller);
             return;
         }
--- a/crates/proxy/src/flow/placing.rs
+++ b/crates/proxy/src/flow/placing.rs
@@ -6,7 +6,7 @@
 use tanager_wire::{Binding, Route, ToTarget, TokenTarget, raw};
 
 use crate::flow::{Flows, OpenOutcome};
-use crate::routing::Placement;
+use crate::routing::{Observation, Placement};
 use crate::target::TargetLink;
 use crate::telemetry::{Decision, DecisionKind, Part};
 
@@ -46,7 +46,18 @@
             self.log
                 .decide(decision.because(&link.target.name, choice.inputs, reason));
             excluded.push(link.target.id);
-            match self.try_target(&link, placing).await {
+            let tried = self.try_target(&link, placing).await;
+            let observation = match tried {
+                Ok(OpenOutcome::Opened) => Some(Observation::Taken),
+                Ok(OpenOutcome::Refused(_)) => Some(Observation::Shed),
+                Err(ResultCode::TargetSilent) => Some(Observation::Failed),
+                // Nothing was sent.
+                Err(_) => None,
+            };
+            if let Some(observation) = observation {
+                self.router.observe(&link, observation);
+            }
+            match tried {
                 Ok(OpenOutcome::Opened) => {
                     return Ok(TokenTarget {
                         id: link.target.id,
--- a/crates/proxy/src/usage/counters.rs
+++ b/crates/proxy/src/usage/counters.rs
@@ -1,8 +1,8 @@
-use std::sync::{Mutex, PoisonError};
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::{FastMap, ServiceId};
 
 /// Something that an owner uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,7 +15,7 @@
     Bytes(u64),
 }
 
-/// The use of one service, as far as this instance counted it.
+/// Counters of what was used. They only grow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct ServiceUsage {
     /// Requests run.
@@ -28,34 +28,70 @@
     pub bytes: u64,
 }
 
-/// Counts usage by service.
+/// Counters that several threads add to. Each grows on its own, so a reader may see an event in
+/// one counter before it sees it in another.
 #[derive(Debug, Default)]
-pub struct Usage {
-    services: Mutex<FastMap<ServiceId, ServiceUsage>>,
+pub(super) struct SharedUsage {
+    requests: AtomicU64,
+    slot_ms: AtomicU64,
+    held_ms: AtomicU64,
+    bytes: AtomicU64,
 }
 
-impl Usage {
+impl SharedUsage {
     /// Counts an event.
-    pub fn record(&self, service: ServiceId, event: UsageEvent) {
-        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let usage = services.entry(service).or_default();
+    pub(super) fn count(&self, event: UsageEvent) {
         match event {
             UsageEvent::Run(time) => {
-                usage.requests += 1;
-                usage.slot_ms += millis(time);
+                self.requests.fetch_add(1, Relaxed);
+                self.slot_ms.fetch_add(millis(time), Relaxed);
             }
-            UsageEvent::Held(time) => usage.held_ms += millis(time),
-            UsageEvent::Bytes(bytes) => usage.bytes += bytes,
+            UsageEvent::Held(time) => {
+                self.held_ms.fetch_add(millis(time), Relaxed);
+            }
+            UsageEvent::Bytes(bytes) => {
+                self.bytes.fetch_add(bytes, Relaxed);
+            }
+        }
+    }
+
+    /// Returns the present values.
+    pub(super) fn get(&self) -> ServiceUsage {
+        ServiceUsage {
+            requests: self.requests.load(Relaxed),
+            slot_ms: self.slot_ms.load(Relaxed),
+            held_ms: self.held_ms.load(Relaxed),
+            bytes: self.bytes.load(Relaxed),
         }
     }
+}
 
-    /// Returns what this instance counted so far.
+impl ServiceUsage {
+    /// Returns the larger value of each counter.
     #[must_use]
-    pub fn services(&self) -> Vec<(ServiceId, ServiceUsage)> {
-        let services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut rows: Vec<_> = services.iter().map(|(s, u)| (*s, *u)).collect();
-        rows.sort_by_key(|(service, _)| *service);
-        rows
+    pub fn max(self, other: Self) -> Self {
+        self.combine(other, u64::max)
+    }
+
+    /// Returns the sum of each counter.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        self.combine(other, u64::saturating_add)
+    }
+
+    /// Returns what was counted since `earlier`.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        self.combine(earlier, u64::saturating_sub)
+    }
+
+    fn combine(self, other: Self, f: impl Fn(u64, u64) -> u64) -> Self {
+        Self {
+            requests: f(self.requests, other.requests),
+            slot_ms: f(self.slot_ms, other.slot_ms),
+            held_ms: f(self.held_ms, other.held_ms),
+            bytes: f(self.bytes, other.bytes),
+        }
     }
 }
 
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -9,7 +9,7 @@
 use tanager_core::{FastMap, FlowId, Millis, RequestId, ResultCode, RunState, ServiceId};
 use tanager_wire::{
     Assembly, Binding, Cancel, Close, Datagram, DatagramBody, Deadline, FlowKind, FragmentMap,
-    Keepalive, Open, Request,
+    Keepalive, Open, Request, Update,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -19,6 +19,9 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Wait after a refusal by a leaving instance.
 const LEAVING_PAUSE: Duration = Duration::from_millis(20);
+/// Longest time between repeated requests; the time doubles from [`REPEAT_INTERVAL`], so that
+/// callers of an overloaded service do not multiply the load.
+const REPEAT_LIMIT: Duration = Duration::from_millis(1_600);
 /// Time between keepalives.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// A feed that heard nothing for this long counts as broken.
@@ -72,8 +75,8 @@
     pub longest_gap: Duration,
     /// Moves to another target.
     pub moves: u32,
-    /// Updates that were skipped and never arrived.
-    pub lost: u64,
+    /// Updates of another service or with another number.
+    pub wrong: u64,
 }
 
 impl Caller {
@@ -181,10 +184,10 @@
         let end = Instant::now() + budget + ANSWER_MARGIN;
         let mut assembly: Option<Assembly> = None;
         let mut last = NO_REPLY;
-        let mut asked = Instant::now();
+        let (mut asked, mut interval) = (Instant::now(), REPEAT_INTERVAL);
         self.send(DatagramBody::Request(request.clone())).await;
         while Instant::now() < end {
-            let wake = end.min(asked + REPEAT_INTERVAL);
+            let wake = end.min(asked + interval);
             match timeout_at(wake, inbox.receiver.recv()).await {
                 Ok(Some(DatagramBody::Answer(fragment))) => {
                     if assembly.is_none() {
@@ -207,6 +210,7 @@
                 Ok(None) => break,
                 Err(_) => {
                     asked = Instant::now();
+                    interval = (interval * 2).min(REPEAT_LIMIT);
                     self.send(DatagramBody::Request(request.clone())).await;
                 }
             }
@@ -220,12 +224,18 @@
         let mut next = 0;
         while Instant::now() < end {
             let inbox = self.inbox(*FlowId::random().as_bytes());
-            let Ok((inbox, session)) = self.open(inbox, FlowKind::Feed, next).await else {
-                tokio::time::sleep(REPEAT_INTERVAL).await;
-                continue;
+            let (inbox, session) = match self.open(inbox, FlowKind::Feed, next).await {
+                Ok(opened) => opened,
+                Err(code) => {
+                    if code == ResultCode::FlowNotResumable {
+                        next = 0;
+                    }
+                    tokio::time::sleep(REPEAT_INTERVAL).await;
+                    continue;
+                }
             };
             report.opened = true;
-            let mut feed = OpenFeed::new(inbox, session, next);
+            let mut feed = OpenFeed::new(inbox, session, next, self.service);
             let held = feed.hold(self, end, &mut report).await;
             next = feed.next;
             match held {
@@ -337,6 +347,7 @@
     inbox: Inbox,
     token: Bytes,
     binding: Binding,
+    service: ServiceId,
     generation: u32,
     /// Next sequence number expected in order; 0 until the first update.
     next: u64,
@@ -349,12 +360,13 @@
 }
 
 impl OpenFeed {
-    fn new(inbox: Inbox, session: Session, next: u64) -> Self {
+    fn new(inbox: Inbox, session: Session, next: u64, service: ServiceId) -> Self {
         let now = Instant::now();
         Self {
             inbox,
             token: session.token,
             binding: session.binding,
+            service,
             generation: 0,
             next,
             early: std::collections::BTreeSet::new(),
@@ -425,12 +437,16 @@
                 let old = std::mem::replace(&mut self.token, opened.token);
                 self.close(caller, old).await;
             }
-            DatagramBody::Update(update) => self.take_update(update.sequence, report),
+            DatagramBody::Update(update) => self.take_update(&update, report),
             _ => {}
         }
     }
 
-    fn take_update(&mut self, sequence: u64, report: &mut FeedReport) {
+    fn take_update(&mut self, update: &Update, report: &mut FeedReport) {
+        let sequence = update.sequence;
+        if update.payload != crate::feed::payload(self.service.get(), sequence) {
+            report.wrong += 1;
+        }
         if self.next == 0 {
             self.next = sequence;
         }
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -11,8 +11,6 @@
 
 use crate::target::Shared;
 
-/// A feed without a keepalive for this long is ended.
-const IDLE_LIMIT: Duration = Duration::from_secs(5);
 /// Updates that a target can send again.
 const HISTORY: u64 = 1_000;
 /// Updates sent again for one keepalive.
@@ -50,8 +48,16 @@
     u64::try_from(since.as_millis() / interval.as_millis().max(1)).unwrap_or(u64::MAX)
 }
 
-fn update(flow: FlowId, route: &Bytes, sequence: u64) -> FromTarget {
-    let payload = Bytes::copy_from_slice(&sequence.to_be_bytes());
+/// Returns the payload of an update, which tells the caller whose it is.
+#[must_use]
+pub fn payload(service: u32, sequence: u64) -> Bytes {
+    [&sequence.to_be_bytes()[..], &service.to_be_bytes()]
+        .concat()
+        .into()
+}
+
+fn update(service: u32, flow: FlowId, route: &Bytes, sequence: u64) -> FromTarget {
+    let payload = payload(service, sequence);
     FromTarget::FlowUpdate {
         flow,
         route: route.clone(),
@@ -167,7 +173,7 @@
         let last = if keepalive.acked == 0 { 0 } else { last };
         let mut frames: Vec<FromTarget> = (keepalive.acked + 1..=last)
             .take(RESEND_LIMIT)
-            .map(|sequence| update(flow, &route, sequence))
+            .map(|sequence| update(shared.options.service, flow, &route, sequence))
             .collect();
         drop(state);
         frames.push(FromTarget::FlowKeepaliveAck {
@@ -192,7 +198,7 @@
                 .get(&feed.connection)
                 .or_else(|| connections.values().next());
             let Some(sender) = sender else { return true };
-            if now.since(feed.heard) > IDLE_LIMIT {
+            if now.since(feed.heard) > shared.options.idle_limit {
                 let (flow, route) = (*flow, feed.route.clone());
                 let code = ResultCode::FlowSilent;
                 let _ = sender.send(FromTarget::FlowReset { flow, route, code });
@@ -200,7 +206,12 @@
             }
             while feed.sent < newest {
                 feed.sent += 1;
-                let _ = sender.send(update(*flow, &feed.route, feed.sent));
+                let _ = sender.send(update(
+                    shared.options.service,
+                    *flow,
+                    &feed.route,
+                    feed.sent,
+                ));
             }
             true
         });
