--- a/crates/proxy/src/target/connection.rs
+++ b/crates/proxy/src/target/connection.rs
@@ -1,216 +1,179 @@
-use std::io;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use bytes::BytesMut;
-use rand::RngExt as _;
-use tanager_wire::{FrameReader, FromTarget, ToTarget, encode_frame, raw};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, ReadHalf, WriteHalf};
-use tokio::sync::mpsc;
-use tokio::time::{Instant, interval, timeout};
-
-use crate::Identity;
-use crate::flow::ReturnPath;
-use crate::peer::{Network, PeerStream};
-use crate::target::{RunOutcome, TargetLink};
-use crate::telemetry::{Log, Part};
-
-/// Frames that may wait for one target.
-const QUEUE_LIMIT: usize = 4_096;
-/// Frames written in one system call.
-const BATCH_LIMIT: usize = 64;
-/// A link without other traffic is pinged at this interval.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
-/// A link that was silent for this long is closed.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
-/// Longest wait for the connection and the target's identity.
-const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
-/// First delay between connection attempts.
-const BACKOFF_START: Duration = Duration::from_millis(100);
-/// Longest delay between connection attempts.
-const BACKOFF_LIMIT: Duration = Duration::from_secs(5);
-
-/// What the connection task needs besides its link.
-pub(super) struct Connector {
-    pub(super) identity: Identity,
-    pub(super) network: Arc<dyn Network>,
-    pub(super) return_path: Arc<ReturnPath>,
-    pub(super) log: Log,
+use tanager_core::{Clock, FastMap, Millis};
+use tanager_wire::{ToTarget, encode_frame, raw};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::target::{LinkError, RunOutcome};
+
+/// Frames that may wait to be written.
+pub(super) const QUEUE_LIMIT: usize = 4_096;
+
+/// A frame that waits to be written.
+#[derive(Debug)]
+pub(super) enum Outgoing {
+    /// A frame of a flow or of the link itself.
+    Frame(ToTarget),
+    /// A run, with its deadline on this instance's clock. It is not written after it.
+    Run(raw::target::Run, Millis),
 }
 
-/// Keeps the link connected until the task is aborted.
-pub(super) async fn keep_connected(link: Arc<TargetLink>, connector: Arc<Connector>) {
-    let mut backoff = BACKOFF_START;
-    loop {
-        if let Ok((reader, writer, hello)) = open(&link, &connector).await {
-            if is_expected(&link, &hello) {
-                backoff = BACKOFF_START;
-                if let Some(load) = hello.load() {
-                    link.report(*load);
-                }
-                let name = &link.target.name;
-                connector
-                    .log
-                    .info(Part::Target, format_args!("target {name} is connected"));
-                let ended = run(&link, &connector, reader, writer).await;
-                connector.log.warn(
-                    Part::Target,
-                    format_args!("target {name} is disconnected: {ended}"),
-                );
-            } else {
-                report_mismatch(&link, &connector, &hello);
-                backoff = BACKOFF_LIMIT;
-            }
-        }
-        let factor = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(backoff.mul_f64(factor)).await;
-        backoff = (backoff * 2).min(BACKOFF_LIMIT);
-    }
+/// The send queue of one checked connection and the runs that wait for their end.
+///
+/// Invariant: a run is in `runs` until its outcome is known, so every run ends exactly once: by
+/// the target's answer, as not sent, or as lost when the connection ends.
+#[derive(Debug)]
+pub(super) struct Connection {
+    queue: mpsc::Sender<Outgoing>,
+    runs: Mutex<FastMap<u64, oneshot::Sender<RunOutcome>>>,
+    next_run: AtomicU64,
+    /// When the oldest frame that expects an answer was queued with nothing received since; 0 if
+    /// there is none.
+    awaiting: AtomicU64,
 }
 
-type Reading = (ReadHalf<Box<dyn PeerStream>>, FrameReader);
-type Writing = WriteHalf<Box<dyn PeerStream>>;
-
-async fn open(
-    link: &TargetLink,
-    connector: &Connector,
-) -> io::Result<(Reading, Writing, FromTarget)> {
-    let stream = timeout(
-        HELLO_TIMEOUT,
-        connector.network.connect(link.target.address),
-    )
-    .await??;
-    let (reader, mut writer) = tokio::io::split(stream);
-    let mut buf = BytesMut::new();
-    encode(hello(link, &connector.identity), &mut buf)?;
-    writer.write_all(&buf).await?;
-    let mut reading = (reader, FrameReader::default());
-    let hello = timeout(HELLO_TIMEOUT, read_frame(&mut reading)).await??;
-    Ok((reading, writer, hello))
+/// Removes a run from its connection, also when the wait for its end is given up.
+struct RunEntry<'a> {
+    connection: &'a Connection,
+    run: u64,
 }
 
-fn hello(link: &TargetLink, identity: &Identity) -> ToTarget {
-    ToTarget::Hello(raw::target::Hello {
-        instance: identity.name.to_string(),
-        incarnation: identity.incarnation.get(),
-        zone: identity.zone.to_string(),
-        service: link.service.get(),
-        target: link.target.id.get(),
-        target_incarnation: link.target.incarnation.get(),
-    })
-}
-
-fn is_expected(link: &TargetLink, hello: &FromTarget) -> bool {
-    matches!(hello, FromTarget::HelloAck { service, target, incarnation, .. }
-        if *service == link.service
-            && *target == link.target.id
-            && *incarnation == link.target.incarnation)
+impl Drop for RunEntry<'_> {
+    fn drop(&mut self) {
+        self.connection.lock_runs().remove(&self.run);
+    }
 }
 
-fn report_mismatch(link: &TargetLink, connector: &Connector, hello: &FromTarget) {
-    link.mismatch();
-    let (name, code) = (
-        &link.target.name,
-        tanager_core::ResultCode::IdentityMismatch,
-    );
-    connector.log.warn(
-        Part::Target,
-        format_args!("{code}: target {name} answered {hello:?}"),
-    );
-}
+impl Connection {
+    /// Creates a connection and the receiving end of its queue.
+    pub(super) fn new() -> (Self, mpsc::Receiver<Outgoing>) {
+        let (queue, receiver) = mpsc::channel(QUEUE_LIMIT);
+        let connection = Self {
+            queue,
+            runs: Mutex::default(),
+            next_run: AtomicU64::new(1),
+            awaiting: AtomicU64::new(0),
+        };
+        (connection, receiver)
+    }
 
-/// Serves a checked connection and returns why it ended.
-async fn run(
-    link: &Arc<TargetLink>,
-    connector: &Connector,
-    mut reading: Reading,
-    writing: Writing,
-) -> io::Error {
-    let (sender, receiver) = mpsc::channel(QUEUE_LIMIT);
-    link.connected(sender);
-    let ended = tokio::select! {
-        error = receive(link, connector, &mut reading) => error,
-        error = transmit(receiver, writing) => error,
-    };
-    link.disconnected();
-    ended
-}
+    /// Queues a frame without waiting.
+    pub(super) fn send(&self, frame: ToTarget, now: Millis) -> Result<(), LinkError> {
+        let answered = !matches!(frame, ToTarget::CloseFlow(_) | ToTarget::CancelRun(_));
+        self.push(Outgoing::Frame(frame))?;
+        if answered && self.awaiting.load(Ordering::Relaxed) == 0 {
+            self.awaiting.store(now.get(), Ordering::Relaxed);
+        }
+        Ok(())
+    }
 
-async fn receive(link: &TargetLink, connector: &Connector, reading: &mut Reading) -> io::Error {
-    let mut pings = interval(PING_INTERVAL);
-    let mut heard = Instant::now();
-    let mut number = 0;
-    loop {
+    /// Queues a run and waits for its end. When `cancelled` completes, the target is asked to drop
+    /// the request; the outcome still follows the target's word.
+    pub(super) async fn run(
+        &self,
+        mut frame: raw::target::Run,
+        deadline: Millis,
+        cancelled: impl Future<Output = ()>,
+    ) -> RunOutcome {
+        let number = self.next_run.fetch_add(1, Ordering::Relaxed);
+        frame.run = number;
+        let (sender, mut receiver) = oneshot::channel();
+        self.lock_runs().insert(number, sender);
+        let _entry = RunEntry {
+            connection: self,
+            run: number,
+        };
+        if let Err(error) = self.push(Outgoing::Run(frame, deadline)) {
+            return RunOutcome::NotSent(error);
+        }
         tokio::select! {
-            frame = read_frame(reading) => match frame {
-                Ok(frame) => {
-                    heard = Instant::now();
-                    take_frame(link, connector, frame);
+            outcome = &mut receiver => return outcome.unwrap_or(RunOutcome::Lost),
+            () = cancelled => {}
+        }
+        let cancel = raw::target::CancelRun { run: number };
+        // A full queue only costs the chance to cancel.
+        let _ = self.push(Outgoing::Frame(ToTarget::CancelRun(cancel)));
+        receiver.await.unwrap_or(RunOutcome::Lost)
+    }
+
+    /// Ends a run. Unknown numbers are ignored.
+    pub(super) fn complete(&self, run: u64, outcome: RunOutcome) {
+        if let Some(sender) = self.lock_runs().remove(&run) {
+            // The request may have been given up meanwhile.
+            let _ = sender.send(outcome);
+        }
+    }
+
+    /// Appends waiting frames to `buf`. A run whose deadline has passed, or that is too large, ends
+    /// as not sent.
+    pub(super) fn encode(&self, batch: &mut Vec<Outgoing>, buf: &mut BytesMut, clock: Clock) {
+        for outgoing in batch.drain(..) {
+            match outgoing {
+                Outgoing::Frame(frame) => {
+                    // Frames of flows are far below the limit, which is the only error.
+                    let _ = encode_frame(&raw::target::ToTarget { body: Some(frame) }, buf);
                 }
-                Err(error) => return error,
-            },
-            _ = pings.tick() => {
-                if heard.elapsed() > SILENCE_LIMIT {
-                    return io::Error::new(io::ErrorKind::TimedOut, "no frame for 3 s");
+                Outgoing::Run(frame, deadline) => {
+                    let run = frame.run;
+                    if clock.now() >= deadline {
+                        self.complete(run, RunOutcome::NotSent(LinkError::DeadlinePassed));
+                        continue;
+                    }
+                    let body = Some(ToTarget::Run(frame));
+                    if encode_frame(&raw::target::ToTarget { body }, buf).is_err() {
+                        self.complete(run, RunOutcome::NotSent(LinkError::TooLarge));
+                    }
                 }
-                if heard.elapsed() >= PING_INTERVAL / 2 {
-                    number += 1;
-                    let _ = link.send(ToTarget::Ping(raw::target::Ping { number }));
+            }
+        }
+    }
+
+    /// Ends every run when the connection has ended: those still queued as not sent, the others
+    /// as lost. Returns the number of other frames that were dropped.
+    pub(super) fn close(&self, queue: &mut mpsc::Receiver<Outgoing>) -> u64 {
+        queue.close();
+        let mut dropped = 0;
+        while let Ok(outgoing) = queue.try_recv() {
+            match outgoing {
+                Outgoing::Frame(_) => dropped += 1,
+                Outgoing::Run(frame, _) => {
+                    self.complete(frame.run, RunOutcome::NotSent(LinkError::Disconnected));
                 }
             }
         }
+        // Dropping the senders ends the remaining runs as lost.
+        self.lock_runs().clear();
+        dropped
     }
-}
 
-fn take_frame(link: &TargetLink, connector: &Connector, frame: FromTarget) {
-    if let Some(load) = frame.load() {
-        link.report(*load);
+    /// Notes that something arrived.
+    pub(super) fn heard(&self) {
+        self.awaiting.store(0, Ordering::Relaxed);
     }
-    match frame {
-        FromTarget::RunDone {
-            run,
-            failed: false,
-            payload,
-            ..
-        } => {
-            link.end_run(run, RunOutcome::Done(payload));
+
+    /// Returns since when an answer is awaited with nothing received, if one is.
+    pub(super) fn awaiting(&self) -> Option<Millis> {
+        match self.awaiting.load(Ordering::Relaxed) {
+            0 => None,
+            millis => Some(Millis::new(millis)),
         }
-        FromTarget::RunDone { run, .. } => link.end_run(run, RunOutcome::Failed),
-        FromTarget::RunShed { run, code, .. } => link.end_run(run, RunOutcome::Shed(code)),
-        FromTarget::Pong { .. } | FromTarget::HelloAck { .. } => {}
-        flow => connector.return_path.take_frame(link, flow),
     }
-}
 
-async fn transmit(mut receiver: mpsc::Receiver<ToTarget>, mut writing: Writing) -> io::Error {
-    let mut frames = Vec::with_capacity(BATCH_LIMIT);
-    let mut buf = BytesMut::new();
-    while receiver.recv_many(&mut frames, BATCH_LIMIT).await > 0 {
-        for frame in frames.drain(..) {
-            if let Err(error) = encode(frame, &mut buf) {
-                return error;
-            }
-        }
-        if let Err(error) = writing.write_all(&buf).await {
-            return error;
-        }
-        buf.clear();
+    /// Returns the number of runs that have not ended.
+    pub(super) fn inflight(&self) -> usize {
+        self.lock_runs().len()
     }
-    io::Error::new(io::ErrorKind::BrokenPipe, "the link is no longer wanted")
-}
 
-fn encode(frame: ToTarget, buf: &mut BytesMut) -> io::Result<()> {
-    let frame = raw::target::ToTarget { body: Some(frame) };
-    encode_frame(&frame, buf).map_err(io::Error::other)
-}
+    fn push(&self, outgoing: Outgoing) -> Result<(), LinkError> {
+        self.queue.try_send(outgoing).map_err(|e| match e {
+            mpsc::error::TrySendError::Full(_) => LinkError::Backpressure,
+            mpsc::error::TrySendError::Closed(_) => LinkError::Disconnected,
+        })
+    }
 
-async fn read_frame((reader, frames): &mut Reading) -> io::Result<FromTarget> {
-    loop {
-        if let Some(frame) = frames.read_frame().map_err(io::Error::other)? {
-            return FromTarget::decode(frame).map_err(io::Error::other);
-        }
-        if reader.read_buf(frames.buffer()).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
+    fn lock_runs(&self) -> MutexGuard<'_, FastMap<u64, oneshot::Sender<RunOutcome>>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/proxy/src/target/link.rs
+++ b/crates/proxy/src/target/link.rs
@@ -1,261 +1,204 @@
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use tanager_core::{Clock, FastMap, Millis, RequestId, ResultCode, ServiceId};
+use tanager_core::{Clock, Millis, ServiceId};
 use tanager_wire::{Load, ToTarget, raw};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::catalogue::Target;
+use crate::target::connection::Connection;
+use crate::target::{LinkError, RunOrder, RunOutcome};
 
 /// Readings are rounded down to milliseconds: the time of the report by up to 1 ms, and the
 /// target's clock when it compares it with the deadline by another 1 ms.
 const CLOCK_ROUNDING: Duration = Duration::from_millis(2);
+/// An answer that takes this long makes the target doubtful, before its connection is closed.
+const SUSPECT_AFTER: Duration = Duration::from_secs(1);
 
-/// Why a frame cannot be handed to a target. The frame was not sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LinkError {
-    /// There is no checked connection.
-    Disconnected,
-    /// The send queue is full.
-    Backpressure,
-}
-
-impl LinkError {
-    /// Returns the numbered code.
-    #[must_use]
-    pub const fn code(self) -> ResultCode {
-        match self {
-            Self::Disconnected => ResultCode::TargetDisconnected,
-            Self::Backpressure => ResultCode::TargetBackpressure,
-        }
-    }
-}
-
-/// A request to be run by a target.
-#[derive(Debug, Clone)]
-pub struct RunOrder {
-    /// The caller's request.
-    pub request: RequestId,
-    /// Whether running it twice is harmless.
-    pub repeatable: bool,
-    /// Latest start on this instance's clock.
-    pub deadline: Millis,
-    /// The payload.
-    pub body: Bytes,
-}
-
-/// How a run ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RunOutcome {
-    /// The target answered.
-    Done(Bytes),
-    /// The target failed while running it.
-    Failed,
-    /// The target did not start it and never will.
-    Shed(ResultCode),
-    /// It was never sent.
-    NotSent(LinkError),
-    /// It was sent and its fate cannot be known.
-    Lost,
-}
-
-/// The newest load report of a target and what happened since.
+/// The load of a target as known here.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LoadView {
-    /// The report.
+    /// The target's last report.
     pub load: Load,
-    /// When it arrived, on this instance's clock.
+    /// When it was read, on this instance's clock.
     pub at: Millis,
-    /// Feeds that this instance opened since.
+    /// Feeds that this instance has sent to the target since that report.
     pub opened: u32,
 }
 
-/// The send side of one checked connection.
-pub(super) type FrameSender = mpsc::Sender<ToTarget>;
-
-/// What this instance shares with the connection task of one target.
+/// The link to one target as published in the catalogue.
 #[derive(Debug)]
 pub struct TargetLink {
-    /// The catalogue's target. A changed entry gets a new link.
+    /// The target as listed.
     pub target: Target,
-    /// The service that the target serves.
+    /// The only service whose packets are sent over this link.
     pub service: ServiceId,
     clock: Clock,
-    sender: ArcSwapOption<FrameSender>,
+    state: Arc<LinkState>,
+}
+
+/// What stays when a target is listed with another state or other limits.
+#[derive(Debug)]
+pub(super) struct LinkState {
+    /// Present from the checked `HelloAck` to the end of the connection.
+    connection: ArcSwapOption<Connection>,
     load: Mutex<LoadView>,
-    /// Runs sent and not yet ended.
-    runs: Mutex<FastMap<u64, oneshot::Sender<RunOutcome>>>,
-    next_run: AtomicU64,
-    inflight: AtomicU32,
     mismatched: AtomicBool,
+    /// When the connection became ready, on this instance's clock.
     ready_since: AtomicU64,
-}
-
-/// Removes a run from its link, also when the wait for its end is given up.
-struct RunEntry<'a> {
-    link: &'a TargetLink,
-    run: u64,
-}
-
-impl Drop for RunEntry<'_> {
-    fn drop(&mut self) {
-        self.link.lock_runs().remove(&self.run);
-        self.link.inflight.fetch_sub(1, Ordering::Relaxed);
-    }
+    /// Wakes the link's task after an identity mismatch.
+    pub(super) retry: Notify,
+    /// Ends the link's task.
+    pub(super) stop: CancellationToken,
 }
 
 impl TargetLink {
-    /// Creates a link without a connection.
-    #[must_use]
-    pub fn new(target: Target, service: ServiceId, clock: Clock) -> Self {
+    pub(super) fn new(target: Target, service: ServiceId, clock: Clock) -> Self {
+        let state = Arc::new(LinkState {
+            connection: ArcSwapOption::empty(),
+            load: Mutex::default(),
+            mismatched: AtomicBool::new(false),
+            ready_since: AtomicU64::new(0),
+            retry: Notify::new(),
+            stop: CancellationToken::new(),
+        });
         Self {
             target,
             service,
             clock,
-            sender: ArcSwapOption::empty(),
-            load: Mutex::default(),
-            runs: Mutex::default(),
-            next_run: AtomicU64::new(1),
-            inflight: AtomicU32::new(0),
-            mismatched: AtomicBool::new(false),
-            ready_since: AtomicU64::new(0),
+            state,
         }
     }
 
-    /// Returns whether a connection stands whose target identified itself.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.sender.load().is_some()
+    /// Returns the link for a target that is listed with other details. Service, address and
+    /// incarnation must be the same; the connection stays.
+    pub(super) fn relist(&self, target: Target) -> Self {
+        Self {
+            target,
+            service: self.service,
+            clock: self.clock,
+            state: Arc::clone(&self.state),
+        }
     }
 
-    /// Returns whether the process at the address is not the catalogue's target.
-    #[must_use]
-    pub fn is_mismatched(&self) -> bool {
-        self.mismatched.load(Ordering::Relaxed)
+    pub(super) const fn state(&self) -> &Arc<LinkState> {
+        &self.state
     }
 
     /// Returns when the connection became ready, on this instance's clock.
     #[must_use]
     pub fn ready_since(&self) -> Millis {
-        Millis::new(self.ready_since.load(Ordering::Relaxed))
+        Millis::new(self.state.ready_since.load(Ordering::Relaxed))
     }
 
-    /// Returns the runs of this instance that the target has not answered.
+    /// Returns the age of the target's last report.
     #[must_use]
-    pub fn inflight(&self) -> u32 {
-        self.inflight.load(Ordering::Relaxed)
+    pub fn report_age(&self) -> Duration {
+        self.clock.now().since(self.load().at)
     }
 
-    /// Returns the newest load report.
+    /// Returns whether there is a connection on which the target has proved its identity.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state.connection.load().is_some()
+    }
+
+    /// Returns whether another process answered at the target's address.
+    #[must_use]
+    pub fn is_mismatched(&self) -> bool {
+        self.state.mismatched.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the target is overdue with an answer.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        let connection = self.state.connection.load();
+        let awaiting = connection.as_ref().and_then(|c| c.awaiting());
+        awaiting.is_some_and(|since| self.clock.now().since(since) >= SUSPECT_AFTER)
+    }
+
+    /// Returns the target's load.
     #[must_use]
     pub fn load(&self) -> LoadView {
         *self.lock_load()
     }
 
-    /// Counts a feed opened since the last report.
+    /// Returns the runs that have not ended.
+    #[must_use]
+    pub fn inflight(&self) -> u32 {
+        let connection = self.state.connection.load();
+        let runs = connection.as_ref().map_or(0, |c| c.inflight());
+        u32::try_from(runs).unwrap_or(u32::MAX)
+    }
+
+    /// Counts a feed that was sent to the target and is not in its report yet.
     pub fn count_opened(&self) {
         self.lock_load().opened += 1;
     }
 
-    /// Queues a frame for the target.
+    /// Queues a frame without waiting.
     ///
     /// # Errors
     ///
-    /// Returns [`LinkError`] if there is no connection or the queue is full. The frame is dropped.
+    /// Returns an error if there is no checked connection or its queue is full.
     pub fn send(&self, frame: ToTarget) -> Result<(), LinkError> {
-        let sender = self.sender.load();
-        let sender = sender.as_ref().ok_or(LinkError::Disconnected)?;
-        sender.try_send(frame).map_err(|e| match e {
-            mpsc::error::TrySendError::Full(_) => LinkError::Backpressure,
-            mpsc::error::TrySendError::Closed(_) => LinkError::Disconnected,
-        })
+        let connection = self.state.connection.load();
+        let connection = connection.as_ref().ok_or(LinkError::Disconnected)?;
+        connection.send(frame, self.clock.now())
     }
 
     /// Runs a request and waits for its end. When `cancelled` completes, the target is asked to
     /// drop the request; the outcome still follows the target's word.
     pub async fn run(&self, order: RunOrder, cancelled: impl Future<Output = ()>) -> RunOutcome {
-        let run = self.next_run.fetch_add(1, Ordering::Relaxed);
-        let (sender, mut receiver) = oneshot::channel();
-        self.lock_runs().insert(run, sender);
-        self.inflight.fetch_add(1, Ordering::Relaxed);
-        let _entry = RunEntry { link: self, run };
-        let sent = self.send(ToTarget::Run(raw::target::Run {
-            run,
+        let Some(connection) = self.state.connection.load_full() else {
+            return RunOutcome::NotSent(LinkError::Disconnected);
+        };
+        let frame = raw::target::Run {
+            run: 0,
             request: Bytes::copy_from_slice(order.request.as_bytes()),
             repeatable: order.repeatable,
             deadline_ms: self.target_deadline(order.deadline).get(),
             body: order.body,
-        }));
-        if let Err(error) = sent {
-            return RunOutcome::NotSent(error);
-        }
-        tokio::select! {
-            outcome = &mut receiver => return outcome.unwrap_or(RunOutcome::Lost),
-            () = cancelled => {}
-        }
-        let _ = self.send(ToTarget::CancelRun(raw::target::CancelRun { run }));
-        receiver.await.unwrap_or(RunOutcome::Lost)
+        };
+        connection.run(frame, order.deadline, cancelled).await
     }
 
-    /// Converts a deadline to the target's clock. The report's clock reading was taken before the
-    /// report arrived, so the result is never later than the deadline.
+    /// Converts a deadline to the target's clock. The target read its clock before the report was
+    /// read here, so the result can only be too early.
     pub(super) fn target_deadline(&self, deadline: Millis) -> Millis {
-        let view = self.load();
+        let view = self.lock_load();
         view.load.clock + deadline.since(view.at + CLOCK_ROUNDING)
     }
 
-    /// Takes over a load report.
-    pub(super) fn report(&self, load: Load) {
+    pub(super) fn take_load(&self, load: Load) {
+        let at = self.clock.now();
         *self.lock_load() = LoadView {
             load,
-            at: self.clock.now(),
+            at,
             opened: 0,
         };
     }
 
-    /// Ends a run.
-    pub(super) fn end_run(&self, run: u64, outcome: RunOutcome) {
-        if let Some(sender) = self.lock_runs().remove(&run) {
-            let _ = sender.send(outcome);
+    pub(super) fn set_connection(&self, connection: Option<Arc<Connection>>) {
+        if connection.is_some() {
+            let now = self.clock.now().get();
+            self.state.ready_since.store(now, Ordering::Relaxed);
         }
+        self.state.connection.store(connection);
     }
 
-    /// Makes the connection usable.
-    pub(super) fn connected(&self, sender: FrameSender) {
-        self.mismatched.store(false, Ordering::Relaxed);
-        self.ready_since
-            .store(self.clock.now().get(), Ordering::Relaxed);
-        self.sender.store(Some(std::sync::Arc::new(sender)));
-    }
-
-    /// Ends the connection. Runs that were queued or sent are lost: whether a queued frame left
-    /// the process cannot be told.
-    pub(super) fn disconnected(&self) {
-        self.sender.store(None);
-        self.lock_runs().drain().for_each(|(_, sender)| {
-            let _ = sender.send(RunOutcome::Lost);
-        });
-    }
-
-    /// Records that another process lives at the target's address.
-    pub(super) fn mismatch(&self) {
-        self.mismatched.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns how long ago the newest load report arrived.
-    #[must_use]
-    pub fn report_age(&self) -> Duration {
-        self.clock.now().since(self.load().at)
+    pub(super) fn set_mismatched(&self, mismatched: bool) {
+        self.state.mismatched.store(mismatched, Ordering::Relaxed);
     }
 
     fn lock_load(&self) -> MutexGuard<'_, LoadView> {
-        self.load.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn lock_runs(&self) -> MutexGuard<'_, FastMap<u64, oneshot::Sender<RunOutcome>>> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state
+            .load
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/proxy/src/target/mod.rs
+++ b/crates/proxy/src/target/mod.rs
@@ -1,11 +1,21 @@
-//! Connections to targets: one task for each, with identity check, liveness and load reports.
+//! Links to targets: one checked TCP connection for each target of the catalogue.
 
 mod connection;
+mod error;
 mod link;
+mod ping;
 mod pool;
-
-pub use link::{LinkError, LoadView, RunOrder, RunOutcome, TargetLink};
-pub use pool::TargetPool;
+mod run;
+mod session;
 
 #[cfg(test)]
 mod link_tests;
+#[cfg(test)]
+mod session_tests;
+#[cfg(test)]
+mod tests;
+
+pub use error::LinkError;
+pub use link::{LoadView, TargetLink};
+pub use pool::TargetPool;
+pub use run::{RunOrder, RunOutcome};
--- a/crates/proxy/src/target/pool.rs
+++ b/crates/proxy/src/target/pool.rs
@@ -1,23 +1,21 @@
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use tanager_core::{Clock, FastMap, ServiceId, TargetId};
-use tokio::task::JoinHandle;
 
 use crate::Identity;
 use crate::catalogue::{Catalogue, Target};
 use crate::flow::ReturnPath;
 use crate::peer::Network;
 use crate::target::TargetLink;
-use crate::target::connection::{Connector, keep_connected};
-use crate::telemetry::Log;
+use crate::target::ping::PingBudget;
+use crate::target::session::Sessions;
+use crate::telemetry::{Counters, Log};
 
 /// The links to all targets of the catalogue in force.
 pub struct TargetPool {
     links: ArcSwap<FastMap<TargetId, Arc<TargetLink>>>,
-    tasks: Mutex<FastMap<TargetId, JoinHandle<()>>>,
-    connector: Arc<Connector>,
-    clock: Clock,
+    sessions: Arc<Sessions>,
 }
 
 impl TargetPool {
@@ -27,27 +25,29 @@
         identity: Identity,
         network: Arc<dyn Network>,
         return_path: Arc<ReturnPath>,
+        counters: Arc<Counters>,
         clock: Clock,
         log: Log,
     ) -> Self {
-        let connector = Arc::new(Connector {
+        let sessions = Arc::new(Sessions {
             identity,
             network,
             return_path,
+            counters,
+            budget: PingBudget::new(clock.now()),
+            clock,
             log,
         });
         Self {
             links: ArcSwap::default(),
-            tasks: Mutex::default(),
-            connector,
-            clock,
+            sessions,
         }
     }
 
-    /// Returns the link to a target.
+    /// Returns the link to a target of the catalogue in force.
     #[must_use]
-    pub fn link(&self, id: TargetId) -> Option<Arc<TargetLink>> {
-        self.links.load().get(&id).cloned()
+    pub fn link(&self, target: TargetId) -> Option<Arc<TargetLink>> {
+        self.links.load().get(&target).cloned()
     }
 
     /// Returns all links.
@@ -56,56 +56,54 @@
         self.links.load().values().cloned().collect()
     }
 
-    /// Opens links to new targets, closes those to removed ones, and replaces the link of a
-    /// target whose address or incarnation changed.
+    /// Adapts the links to a catalogue. Must be called by one task only.
+    ///
+    /// A link stays if service, address and incarnation are unchanged; a change of state or limits
+    /// does not break it. Links with an identity mismatch try again.
     pub fn reconcile(&self, catalogue: &Catalogue) {
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
         let old = self.links.load_full();
         let mut links = FastMap::default();
         for entry in catalogue.entries.values() {
             for target in &entry.targets {
-                let kept = old
-                    .get(&target.id)
-                    .filter(|l| is_same(l, entry.service, target));
-                let link = kept.cloned().unwrap_or_else(|| {
-                    let link = TargetLink::new(target.clone(), entry.service, self.clock);
-                    let link = Arc::new(link);
-                    let task = keep_connected(Arc::clone(&link), Arc::clone(&self.connector));
-                    if let Some(old) = tasks.insert(target.id, tokio::spawn(task)) {
-                        old.abort();
-                    }
-                    link
+                let kept = old.get(&target.id).filter(|l| {
+                    l.service == entry.service
+                        && l.target.address == target.address
+                        && l.target.incarnation == target.incarnation
                 });
+                let link = match kept {
+                    Some(link) if link.target == *target => Arc::clone(link),
+                    Some(link) => Arc::new(link.relist(target.clone())),
+                    None => self.start(target, entry.service),
+                };
+                // Also kept for a task that is still finding the mismatch out.
+                link.state().retry.notify_one();
                 links.insert(target.id, link);
             }
         }
-        tasks.retain(|id, task| {
-            let wanted = links.contains_key(id);
-            if !wanted {
-                task.abort();
-            }
-            wanted
-        });
-        close_replaced(&old, &links);
         self.links.store(Arc::new(links));
+        let links = self.links.load();
+        for (id, link) in old.iter() {
+            let kept = links.get(id);
+            if !kept.is_some_and(|k| Arc::ptr_eq(k.state(), link.state())) {
+                link.state().stop.cancel();
+            }
+        }
     }
 }
 
-/// Ends the runs of links that are no longer used; their task was aborted.
-fn close_replaced(
-    old: &FastMap<TargetId, Arc<TargetLink>>,
-    links: &FastMap<TargetId, Arc<TargetLink>>,
-) {
-    for (id, link) in old {
-        if !links.get(id).is_some_and(|new| Arc::ptr_eq(new, link)) {
-            link.disconnected();
-        }
+impl TargetPool {
+    fn start(&self, target: &Target, service: ServiceId) -> Arc<TargetLink> {
+        let link = TargetLink::new(target.clone(), service, self.sessions.clock);
+        let link = Arc::new(link);
+        tokio::spawn(Arc::clone(&self.sessions).keep(Arc::clone(&link)));
+        link
     }
 }
 
-fn is_same(link: &TargetLink, service: ServiceId, target: &Target) -> bool {
-    link.service == service
-        && link.target.address == target.address
-        && link.target.incarnation == target.incarnation
-        && link.target.zone == target.zone
+impl Drop for TargetPool {
+    fn drop(&mut self) {
+        for link in self.links.load().values() {
+            link.state().stop.cancel();
+        }
+    }
 }
