Split long functions of the load tool

Change: one function each for a planned change, the flood's mix, an empty fleet and a row of the verdict; no change of behaviour intended.

--- a/crates/standins/src/bin/standin-caller.rs
+++ b/crates/standins/src/bin/standin-caller.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pico_args::Arguments;
-use serde_json::json;
+use serde_json::{Value, json};
 use tanager_standins::load::{Mix, Tally, drive};
 use tanager_standins::program::{self, Ending, Failure};
 use tanager_standins::verdict::Truth;
@@ -88,10 +88,7 @@
         if served == 0 {
             breaches.push(format!("service {} answered nothing", tally.name));
         }
-        services.push(json!({ "service": tally.name, "requests_served": served,
-            "not_run": tally.once.not_run + tally.repeatable.not_run,
-            "unknown": tally.once.unknown + tally.repeatable.unknown,
-            "feeds_held": tally.feeds_opened, "feeds_broken": tally.feeds_broken }));
+        services.push(row(tally, served));
     }
     if truth.tallies.is_empty() || truth.records.is_empty() {
         breaches.push("reports are missing".to_owned());
@@ -109,3 +106,10 @@
         Err(Failure::Breached)
     }
 }
+
+fn row(tally: &Tally, served: u64) -> Value {
+    json!({ "service": tally.name, "requests_served": served,
+        "not_run": tally.once.not_run + tally.repeatable.not_run,
+        "unknown": tally.once.unknown + tally.repeatable.unknown,
+        "feeds_held": tally.feeds_opened, "feeds_broken": tally.feeds_broken })
+}
--- a/crates/standins/src/bin/tanager-bench/faults.rs
+++ b/crates/standins/src/bin/tanager-bench/faults.rs
@@ -110,27 +110,7 @@
     let mut leaving: Vec<(u32, Instant)> = Vec::new();
     for step in 0..8u32 {
         sleep_until(start + after(plan, 0.1) * (step + 1)).await;
-        // The cut zone learns of the changes from its peers only. The new balancer's own zone is
-        // not cut, so that the schedule fits into the load.
-        let own = fleet.balancers[0].instance.zone.clone();
-        let others: Vec<&str> = ZONES.into_iter().filter(|z| *z != own).collect();
-        let zone = others[rng.random_range(0..others.len())];
-        fleet.platform.cut_zones([zone.to_owned()]);
-        let index = rng.random_range(0..fleet.targets.len() - leaving.len());
-        leaving.push((fleet.drain_target(index).await?, Instant::now()));
-        fleet.replace_balancer(0).await?;
-        fleet.platform.cut_zones([]);
-        leaving.retain(|(number, since)| {
-            let done = since.elapsed() > DRAIN_TIME && fleet.is_idle(*number);
-            if done {
-                fleet.remove_target(*number);
-            }
-            !done
-        });
-        // Leaving targets stand last, so the next choice falls on an active one.
-        fleet
-            .targets
-            .sort_by_key(|(_, number, _)| leaving.iter().any(|(n, _)| n == number));
+        change(&mut fleet, &mut rng, &mut leaving).await?;
     }
     if start.elapsed() > after(plan, 1.0) {
         return Err(io::Error::other("the changes took longer than the load"));
@@ -162,6 +142,36 @@
     Ok(report)
 }
 
+/// Drains a target, replaces a balancer and removes drained targets whose feeds have moved.
+async fn change(
+    fleet: &mut Fleet,
+    rng: &mut StdRng,
+    leaving: &mut Vec<(u32, Instant)>,
+) -> io::Result<()> {
+    // The cut zone learns of the changes from its peers only. The new balancer's own zone is
+    // not cut, so that the schedule fits into the load.
+    let own = fleet.balancers[0].instance.zone.clone();
+    let others: Vec<&str> = ZONES.into_iter().filter(|z| *z != own).collect();
+    let zone = others[rng.random_range(0..others.len())];
+    fleet.platform.cut_zones([zone.to_owned()]);
+    let index = rng.random_range(0..fleet.targets.len() - leaving.len());
+    leaving.push((fleet.drain_target(index).await?, Instant::now()));
+    fleet.replace_balancer(0).await?;
+    fleet.platform.cut_zones([]);
+    leaving.retain(|(number, since)| {
+        let done = since.elapsed() > DRAIN_TIME && fleet.is_idle(*number);
+        if done {
+            fleet.remove_target(*number);
+        }
+        !done
+    });
+    // Leaving targets stand last, so the next choice falls on an active one.
+    fleet
+        .targets
+        .sort_by_key(|(_, number, _)| leaving.iter().any(|(n, _)| n == number));
+    Ok(())
+}
+
 pub async fn balancer_kill(plan: &Plan) -> io::Result<Report> {
     let mut fleet = fleet(plan).await?;
     let mut rng = StdRng::seed_from_u64(plan.seed);
--- a/crates/standins/src/bin/tanager-bench/fleet.rs
+++ b/crates/standins/src/bin/tanager-bench/fleet.rs
@@ -99,9 +99,29 @@
         adapt: fn(Options) -> Options,
         seed: u64,
     ) -> io::Result<Self> {
+        let mut fleet = Self::empty(adapt, seed).await?;
+        for (index, (service, count)) in services.into_iter().enumerate() {
+            fleet.services.push(service);
+            for i in 0..count {
+                fleet.add_target(index, ZONES[i % ZONES.len()]).await?;
+            }
+        }
+        fleet.publish_catalogue();
+        for i in 0..balancers {
+            fleet.spawn_balancer(ZONES[i % ZONES.len()])?;
+        }
+        fleet.publish_instances();
+        for i in 0..balancers {
+            fleet.wait_connected(i).await?;
+        }
+        fleet.spray();
+        Ok(fleet)
+    }
+
+    async fn empty(adapt: fn(Options) -> Options, seed: u64) -> io::Result<Self> {
         let dir = std::env::temp_dir().join(format!("tanager-bench-{}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
-        let mut fleet = Self {
+        Ok(Self {
             platform: Platform::start(any_port()).await?,
             fabric: Fabric::start(any_port(), Vec::new(), seed).await?,
             balancers: Vec::new(),
@@ -120,23 +140,7 @@
                 .timeout(Duration::from_secs(1))
                 .build()
                 .map_err(io::Error::other)?,
-        };
-        for (index, (service, count)) in services.into_iter().enumerate() {
-            fleet.services.push(service);
-            for i in 0..count {
-                fleet.add_target(index, ZONES[i % ZONES.len()]).await?;
-            }
-        }
-        fleet.publish_catalogue();
-        for i in 0..balancers {
-            fleet.spawn_balancer(ZONES[i % ZONES.len()])?;
-        }
-        fleet.publish_instances();
-        for i in 0..balancers {
-            fleet.wait_connected(i).await?;
-        }
-        fleet.spray();
-        Ok(fleet)
+        })
     }
 
     fn spawn_balancer(&mut self, zone: &str) -> io::Result<()> {
--- a/crates/standins/src/bin/tanager-bench/quiet.rs
+++ b/crates/standins/src/bin/tanager-bench/quiet.rs
@@ -17,6 +17,8 @@
 
 /// Time for connections and lists to settle before something is measured.
 const SETTLE: Duration = Duration::from_secs(5);
+/// Rate of a flood over the capacity of the flooded work.
+const FLOOD_FACTOR: f64 = 10.0;
 /// Two slots and 40 ms for each request.
 const REQUESTS_PER_TARGET: u32 = 50;
 /// Clock ticks a second in `/proc/PID/stat`; fixed in the Linux interface for user programs.
@@ -26,29 +28,13 @@
     let mut fleet = Fleet::start(8, services(), slow, plan.seed).await?;
     limit_to_capacity(&mut fleet);
     sleep(SETTLE).await;
-    let (flooded, capacity) = if plan.most_urgent {
-        (1, 700.0)
-    } else {
-        (2, 200.0)
-    };
     let half = Duration::from_secs(plan.seconds) / 2;
     let address = fleet.fabric.address();
-    let ordinary = mixes(50, 1.0);
-    let before = drive(address, &ordinary, half).await?;
-    let (once, repeatable) = if plan.most_urgent {
-        (capacity * 10.0, 0.0)
-    } else {
-        (0.0, capacity * 10.0)
-    };
-    let flood = Mix {
-        name: "flood".to_owned(),
-        service: flooded,
-        once,
-        repeatable,
-        answer_size: 64,
-        ..Mix::default()
-    };
-    let mut mixes = ordinary;
+    let mut mixes = mixes(50, 1.0);
+    let before = drive(address, &mixes, half).await?;
+    let flood = flood_mix(plan.most_urgent);
+    let capacity = (flood.once + flood.repeatable) / FLOOD_FACTOR;
+    let flooded = flood.service;
     mixes.push(flood);
     let during = drive(address, &mixes, half).await?;
     let (goodput, p99) = kept(&before, &during, flooded);
@@ -76,6 +62,25 @@
     })
 }
 
+/// Returns a flood of the least urgent work (print) or the most urgent work (the buzz request).
+fn flood_mix(most_urgent: bool) -> Mix {
+    let (service, targets) = if most_urgent { (1, 14) } else { (2, 4) };
+    let rate = f64::from(targets * REQUESTS_PER_TARGET) * FLOOD_FACTOR;
+    let (once, repeatable) = if most_urgent {
+        (rate, 0.0)
+    } else {
+        (0.0, rate)
+    };
+    Mix {
+        name: "flood".to_owned(),
+        service,
+        once,
+        repeatable,
+        answer_size: 64,
+        ..Mix::default()
+    }
+}
+
 /// Limits services and owners to what their targets can serve, so that the flood meets limits
 /// that others share. Each service is guaranteed 40%, which is above its ordinary load.
 fn limit_to_capacity(fleet: &mut Fleet) {
