Split the datagram conversions by direction

Change: caller.rs keeps the types, decode and encode; caller/from_raw.rs and caller/to_raw.rs convert; field.rs holds the field conversions that target.rs uses too. No behaviour changes.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod error;
+mod field;
 mod fragment;
 mod frame;
 mod route;
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -2,7 +2,7 @@
 use prost::Message as _;
 use tanager_core::{FlowId, Incarnation, Millis, ResultCode, ServiceId, TargetId};
 
-use crate::caller::{flow_id, id_bytes, result_code};
+use crate::field::{flow_id, id_bytes, result_code};
 use crate::raw::target as raw;
 use crate::{Error, Result};
 
