Move the assembly and the sockets of a node into files of their own

Cause: Node::assemble had 109 lines, and node.rs mixed assembly, sockets, start and stop. No behaviour changes.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,36 +1,35 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use rand::seq::IteratorRandom as _;
-use tanager_core::{Clock, Incarnation, Revision, ZoneName};
-use tokio::net::{TcpListener, UdpSocket};
+use tanager_core::{Clock, Revision, ZoneName};
 
-use crate::admission::Admission;
 use crate::catalogue::{CatalogueStore, Reader};
-use crate::execution::{Execution, PauseGuard, Refresh, Requests};
-use crate::flow::{CallerSocket, Flows, PendingOpens, ReturnPath};
+use crate::execution::{Execution, Refresh};
+use crate::flow::CallerSocket;
 use crate::ingress::Ingress;
 use crate::membership::{Gossip, Membership};
-use crate::peer::{CatalogueText, Heartbeat, Network, PeerHandler, Peers, RelayReply, Relayed};
+use crate::node::assembly::Base;
+use crate::node::sockets::{Sockets, address_of};
+use crate::peer::{CatalogueText, Heartbeat, Network, PeerHandler, RelayReply, Relayed};
 use crate::routing::Router;
-use crate::settings::Settings;
+use crate::settings::{PlatformSettings, Settings};
 use crate::target::TargetPool;
-use crate::telemetry::{ControlRate, Counters, DecisionRing, Log, Part};
+use crate::telemetry::{Counters, DecisionRing, Log, Part};
 use crate::usage::Usage;
-use crate::{Error, Identity, Result, peer, status};
+use crate::{Result, peer, status};
+
+mod assembly;
+mod sockets;
 
-/// Receive buffer of the caller socket in bytes. It takes some 100 ms of a burst.
-const RECEIVE_BUFFER: usize = 4 << 20;
 /// Shortest time between leaving, or the last request that a caller asked for, and the end of the
 /// process. Callers repeat an unanswered request every 1.6 s at the latest; three repeats fit.
 const LINGER: Duration = Duration::from_secs(5);
 /// Longest time that requests in flight are waited for. It exceeds the longest deadline and the
 /// time that a run may take after it.
 const DRAIN_LIMIT: Duration = Duration::from_secs(65);
-
 /// Peers asked for a newer catalogue after a pause.
 const REFRESH_PEERS: usize = 3;
 
@@ -55,43 +54,32 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Listen`] if a socket cannot be opened.
+    /// Returns [`crate::Error::Listen`] if a socket cannot be opened.
     pub async fn start(
         mut settings: Settings,
         log: Log,
         clock: Clock,
         network: Arc<dyn Network>,
     ) -> Result<Arc<Self>> {
-        let peer_listener = listen(settings.peers).await?;
-        let status_listener = listen(settings.status).await?;
+        let sockets = Sockets::open(&settings).await?;
         // Port 0 stands for a port chosen by the system.
-        settings.peers = peer_listener.local_addr().unwrap_or(settings.peers);
-        settings.status = status_listener.local_addr().unwrap_or(settings.status);
-        let counters = Arc::new(Counters::default());
-        let socket = Arc::new(bind_callers(settings.callers)?);
-        let callers = CallerSocket::new(socket, Arc::clone(&counters));
-        let node = Arc::new(Self::assemble(
-            &settings, log, clock, network, counters, callers,
-        ));
+        settings.peers = address_of(&sockets.peers, settings.peers);
+        settings.status = address_of(&sockets.status, settings.status);
+        let Sockets {
+            callers,
+            peers,
+            status,
+        } = sockets;
+        let base = Base::new(&settings, log, clock, network, callers);
+        let node = Arc::new(base.assemble(settings.status));
         node.log.info(
             Part::Node,
             format_args!("instance {} is started", settings.name),
         );
-
-        tokio::spawn(peer::serve(
-            peer_listener,
-            Arc::clone(&node) as Arc<dyn PeerHandler>,
-        ));
-        tokio::spawn(status::serve(status_listener, Arc::clone(&node)));
-        let reader = Arc::new(Reader::new(
-            settings.platform,
-            Arc::clone(&node.catalogue),
-            Arc::clone(&node.membership),
-            Arc::clone(&node.counters),
-            node.log.clone(),
-        ));
-        tokio::spawn(Arc::clone(&reader).watch_catalogue());
-        tokio::spawn(reader.watch_instances());
+        let handler = Arc::clone(&node) as Arc<dyn PeerHandler>;
+        tokio::spawn(peer::serve(peers, handler));
+        tokio::spawn(status::serve(status, Arc::clone(&node)));
+        node.watch_platform(settings.platform);
         node.gossip.start(settings.seeds);
         tokio::spawn(Arc::clone(&node).follow_catalogue());
         tokio::spawn(Arc::clone(node.execution.pauses()).watch(node.refresh()));
@@ -172,114 +160,16 @@
         &self.counters
     }
 
-    fn assemble(
-        settings: &Settings,
-        log: Log,
-        clock: Clock,
-        network: Arc<dyn Network>,
-        counters: Arc<Counters>,
-        callers: CallerSocket,
-    ) -> Self {
-        let identity = Identity {
-            name: settings.name.clone(),
-            zone: settings.zone.clone(),
-            region: settings.region.clone(),
-            incarnation: Incarnation::random(),
-            address: settings.peers,
-        };
-        let keys = settings.keys.clone();
-        let catalogue = Arc::new(CatalogueStore::default());
-        let membership = Arc::new(Membership::new(identity.clone()));
-        let usage = Arc::new(Usage::default());
-        let pending = Arc::new(PendingOpens::default());
-        let return_path = Arc::new(ReturnPath::new(
-            keys.clone(),
-            callers.clone(),
-            Arc::clone(&pending),
-            Arc::clone(&usage),
-            Arc::clone(&counters),
-        ));
-        let peers = Arc::new(Peers::new(Arc::clone(&network)));
-        let gossip = Arc::new(Gossip {
-            membership: Arc::clone(&membership),
-            catalogue: Arc::clone(&catalogue),
-            usage: Arc::clone(&usage),
-            peers: Arc::clone(&peers),
-            counters: Arc::clone(&counters),
-            rate: ControlRate::default(),
-            log: log.clone(),
-            pulling: AtomicBool::new(false),
-            surveyed: AtomicBool::new(false),
-        });
-        let targets = Arc::new(TargetPool::new(
-            identity,
-            network,
-            return_path,
-            Arc::clone(&counters),
-            clock,
-            log.clone(),
-        ));
-        let router = Arc::new(Router::new(
-            Arc::clone(&catalogue),
-            Arc::clone(&targets),
-            Arc::clone(&membership),
-            clock,
-        ));
-        let admission = Arc::new(Admission::new(
-            Arc::clone(&catalogue),
-            Arc::clone(&membership),
-            Arc::clone(&targets),
-            clock,
+    fn watch_platform(&self, platform: PlatformSettings) {
+        let reader = Arc::new(Reader::new(
+            platform,
+            Arc::clone(&self.catalogue),
+            Arc::clone(&self.membership),
+            Arc::clone(&self.counters),
+            self.log.clone(),
         ));
-        let execution = Arc::new(Execution {
-            keys: keys.clone(),
-            callers: callers.clone(),
-            admission: Arc::clone(&admission),
-            router: Arc::clone(&router),
-            membership: Arc::clone(&membership),
-            peers,
-            usage: Arc::clone(&usage),
-            counters: Arc::clone(&counters),
-            clock,
-            log: log.clone(),
-            pauses: PauseGuard::new(clock),
-            requests: Requests::default(),
-        });
-        let flows = Arc::new(Flows {
-            keys,
-            callers: callers.clone(),
-            pending,
-            targets: Arc::clone(&targets),
-            router: Arc::clone(&router),
-            admission,
-            membership: Arc::clone(&membership),
-            counters: Arc::clone(&counters),
-            pauses: Arc::clone(execution.pauses()),
-            clock,
-            log: log.clone(),
-        });
-        let ingress = Arc::new(Ingress {
-            callers: callers.clone(),
-            flows,
-            execution: Arc::clone(&execution),
-            counters: Arc::clone(&counters),
-            clock,
-            log: log.clone(),
-        });
-        Self {
-            catalogue,
-            membership,
-            gossip,
-            targets,
-            router,
-            execution,
-            usage,
-            counters,
-            log,
-            callers,
-            ingress,
-            status_address: settings.status,
-        }
+        tokio::spawn(Arc::clone(&reader).watch_catalogue());
+        tokio::spawn(reader.watch_instances());
     }
 
     /// Adapts the target links to every new catalogue.
@@ -341,21 +231,3 @@
         RelayReply::Taken
     }
 }
-
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen { address, source })
-}
-
-fn bind_callers(address: SocketAddr) -> Result<UdpSocket> {
-    let bind = || {
-        let domain = socket2::Domain::for_address(address);
-        let socket = socket2::Socket::new(domain, socket2::Type::DGRAM, None)?;
-        socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        UdpSocket::from_std(socket.into())
-    };
-    bind().map_err(|source| Error::Listen { address, source })
-}
