Ignore the load report of a process that is not the target

Cause: the report in a HelloAck was taken over before the identity in it was checked, so another process at a re-used address changed the load, the feeds in use and the clock of the target until its next report. Change: the report is taken over only if service, target number and incarnation match.

--- a/crates/proxy/src/target/session.rs
+++ b/crates/proxy/src/target/session.rs
@@ -146,10 +146,14 @@
                 else {
                     return Ok(false);
                 };
-                link.take_load(load);
-                return Ok(service == link.service
+                let same = service == link.service
                     && target == link.target.id
-                    && incarnation == link.target.incarnation);
+                    && incarnation == link.target.incarnation;
+                // Another process's load and clock say nothing about the target.
+                if same {
+                    link.take_load(load);
+                }
+                return Ok(same);
             }
             if stream.read_buf(frames.buffer()).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
--- a/crates/proxy/src/target/session_tests.rs
+++ b/crates/proxy/src/target/session_tests.rs
@@ -66,21 +66,22 @@
     stream.write_all(&buf).expect("write");
 }
 
+fn hello_ack(incarnation: Incarnation, load: Load) -> FromTarget {
+    FromTarget::HelloAck {
+        service: ServiceId::new(1),
+        target: TargetId::new(1),
+        incarnation,
+        load,
+    }
+}
+
 /// Accepts one connection only and answers the first ping late.
 fn fake_target(listener: &TcpListener) {
     let (mut stream, _) = listener.accept().expect("connection");
     let mut buf = [0; 1_024];
     let _hello = stream.read(&mut buf).expect("hello");
     let load = Load::default();
-    write_frame(
-        &mut stream,
-        FromTarget::HelloAck {
-            service: ServiceId::new(1),
-            target: TargetId::new(1),
-            incarnation: Incarnation::new(1),
-            load,
-        },
-    );
+    write_frame(&mut stream, hello_ack(Incarnation::new(1), load));
     let _ping = stream.read(&mut buf).expect("ping");
     std::thread::sleep(ANSWER_DELAY);
     write_frame(&mut stream, FromTarget::Pong { number: 1, load });
@@ -127,3 +128,33 @@
     sleep(ANSWER_DELAY / 5).await;
     target.join().expect("target");
 }
+
+/// Guards against limits and deadlines that follow the report of a process that is not the target.
+#[tokio::test]
+async fn the_report_of_a_mismatched_process_is_ignored() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address");
+    let other = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("connection");
+        let _hello = stream.read(&mut [0; 1_024]).expect("hello");
+        let load = Load {
+            flows: 2_000,
+            ..Load::default()
+        };
+        write_frame(&mut stream, hello_ack(Incarnation::new(2), load));
+    });
+    let pool = pool().await;
+    pool.reconcile(&catalogue(address));
+    let link = pool.link(TargetId::new(1)).expect("link");
+
+    for _ in 0..500 {
+        if link.is_mismatched() {
+            break;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+
+    assert!(link.is_mismatched());
+    assert_eq!(link.load().load, Load::default());
+    other.join().expect("other process");
+}
