Keep retry budgets only for services that have retried

Cause: every request made an entry in the retry budget before its service was looked up, so callers that make service numbers up took memory that was never freed.

--- a/crates/proxy/src/execution/retry_tests.rs
+++ b/crates/proxy/src/execution/retry_tests.rs
@@ -19,3 +19,15 @@
     assert!(retries <= 250, "{retries} retries");
     assert!(budget.spend(other));
 }
+
+/// Guards against memory that grows with every service number that a caller makes up.
+#[test]
+fn requests_of_services_that_never_retried_take_no_memory() {
+    let budget = RetryBudget::default();
+
+    for number in 0..1_000 {
+        budget.earn(ServiceId::new(number));
+    }
+
+    assert_eq!(budget.services.lock().expect("lock").len(), 0);
+}
