Bound the connection time counted for one confirmation

Cause: held_ms came from the target unchecked; a faulty value could make the counter of its owner wrap around, after which the owner's use is no longer counted. Change: at most 10 s are counted for one confirmation. A target ends a flow after 5 s without a keepalive.

--- a/crates/proxy/src/flow/return_path.rs
+++ b/crates/proxy/src/flow/return_path.rs
@@ -12,6 +12,10 @@
 use crate::telemetry::Counters;
 use crate::usage::{Usage, UsageEvent};
 
+/// Longest connection time counted for one confirmation. A target ends a flow after 5 s without a
+/// keepalive, so a longer time since the last one is an error.
+pub(super) const HELD_LIMIT: Duration = Duration::from_secs(10);
+
 /// Delivers the flow frames of targets to callers.
 pub struct ReturnPath {
     keys: KeyRing,
@@ -58,7 +62,7 @@
                 held_ms,
                 ..
             } => {
-                let held = UsageEvent::Held(Duration::from_millis(held_ms));
+                let held = UsageEvent::Held(held_time(held_ms));
                 self.usage.record(link.service, held);
                 let ack = DatagramBody::KeepaliveAck(KeepaliveAck { flow, number });
                 self.deliver(link, flow, &route, |_| ack);
@@ -113,3 +117,8 @@
         }
     }
 }
+
+/// Returns the connection time that a confirmation adds.
+pub(super) fn held_time(held_ms: u64) -> Duration {
+    Duration::from_millis(held_ms).min(HELD_LIMIT)
+}
--- a/crates/proxy/src/flow/tests.rs
+++ b/crates/proxy/src/flow/tests.rs
@@ -1,5 +1,8 @@
+use std::time::Duration;
+
 use tanager_core::{FlowId, ResultCode, TargetId};
 
+use super::return_path::{HELD_LIMIT, held_time};
 use super::{OpenOutcome, PendingOpens};
 
 /// Guards against copies of an `Open`, or several keepalives of a flow to be moved, that place the
@@ -30,3 +33,10 @@
     assert!(first.try_recv().is_err());
     assert_eq!(second.try_recv(), Ok(refused));
 }
+
+/// Guards against a faulty target whose report makes the usage counter of its owner wrap around.
+#[test]
+fn connection_time_of_one_confirmation_is_bounded() {
+    assert_eq!(held_time(1_500), Duration::from_millis(1_500));
+    assert_eq!(held_time(u64::MAX), HELD_LIMIT);
+}
