End a request as unknown when its dispatch panics

Cause: a panic inside dispatch ended its task only. The request stayed pending for ever: copies of it were ignored, the caller got no answer, and a leaving instance waited for it up to its limit of 65 s. Change: the panic ends the request with the new code ExecutorFailed (412) and run state UNKNOWN, because it may have been sent.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -101,6 +101,8 @@
     RequestFailed = 410,
     /// The request is known, but its answer is no longer kept.
     AnswerExpired = 411,
+    /// The executor failed while it handled the request.
+    ExecutorFailed = 412,
     /// The rate limit of the owner is reached.
     OwnerLimit = 501,
     /// The rate limit of the service is reached.
--- a/crates/proxy/src/execution/executor.rs
+++ b/crates/proxy/src/execution/executor.rs
@@ -1,9 +1,11 @@
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt as _;
 use tanager_core::{Clock, Millis, RequestId, ResultCode, RunState, ServiceId};
 use tanager_wire::{Cancel, Datagram, DatagramBody, Deadline, KeyRing, Refusal, Request, Token};
 
@@ -226,7 +228,7 @@
                 self.requests.retries.earn(job.key.service);
                 let execution = Arc::clone(self);
                 tokio::spawn(async move {
-                    let ending = execution.dispatch(&job, &cancel).await;
+                    let ending = ending_of(execution.dispatch(&job, &cancel)).await;
                     // Before the request ends, so that a leaving instance stays for its answer.
                     execution.touch();
                     let ending = execution.requests.lock_table().end(job.key, ending);
@@ -287,3 +289,14 @@
         ));
     }
 }
+
+/// Waits for the ending of a request. A panic, which may come after the request was sent, ends it as
+/// unknown: a request that stays pending is never answered and holds a leaving instance back.
+pub(super) async fn ending_of(dispatch: impl Future<Output = Ending>) -> Ending {
+    // The state shared with other requests is behind locks that bear a panic of their holder.
+    let ending = AssertUnwindSafe(dispatch).catch_unwind().await;
+    ending.unwrap_or(Ending::refused(
+        ResultCode::ExecutorFailed,
+        RunState::Unknown,
+    ))
+}
--- a/crates/proxy/src/execution/mod.rs
+++ b/crates/proxy/src/execution/mod.rs
@@ -15,6 +15,8 @@
     TableLimits,
 };
 
+#[cfg(test)]
+mod executor_tests;
 #[cfg(test)]
 mod pause_tests;
 #[cfg(test)]
