--- a/crates/proxy/src/flow/flows.rs
+++ b/crates/proxy/src/flow/flows.rs
@@ -71,12 +71,7 @@
         let Some(_mark) = self.pending.begin(open.flow) else {
             return;
         };
-        if let Err(refused) = self.admission.admit_flow(service) {
-            let kind = DecisionKind::ResetFlow;
-            let decision = Decision::flow(Part::Admission, kind, service, open.flow);
-            let code = refused.code;
-            self.log
-                .decide(decision.because(code, refused.inputs, refused.reason));
+        if let Err(code) = self.admit(service, open.flow) {
             self.reset(service, open.flow, code, None, caller);
             return;
         }
@@ -98,6 +93,16 @@
         }
     }
 
+    /// Applies the limits on flows and logs a refusal.
+    fn admit(&self, service: ServiceId, flow: FlowId) -> Result<(), ResultCode> {
+        self.admission.admit_flow(service).map_err(|refused| {
+            let decision = Decision::flow(Part::Admission, DecisionKind::ResetFlow, service, flow);
+            self.log
+                .decide(decision.because(refused.code, refused.inputs, refused.reason));
+            refused.code
+        })
+    }
+
     /// Forwards a keepalive to the target named in its token, or moves or ends the flow.
     pub fn keepalive(
         self: &Arc<Self>,
