Take only requests and cancels from peers

Cause: Node::relay passed any kind of datagram to flows and execution, so a faulty peer could open, move or end flows past the shares of the receive loop. Change: other kinds are counted as malformed. Test fleets have their keys as key_ring(), with which the test reads the incarnation in a token.

--- a/crates/proxy/src/ingress/receive.rs
+++ b/crates/proxy/src/ingress/receive.rs
@@ -84,9 +84,13 @@
         dropped
     }
 
-    /// Takes a datagram that a peer received from a caller.
+    /// Takes a request or cancel that a peer received from a caller. Every instance handles the
+    /// other kinds itself, so a peer that passes them on is faulty, and they count as malformed.
     pub fn take_relayed(&self, bytes: &[u8], caller: SocketAddr) {
-        self.take(bytes, caller, Class::peek(bytes));
+        match Datagram::decode(bytes) {
+            Ok(datagram) if has_executor(&datagram.body) => self.dispatch(datagram, bytes, caller),
+            _ => self.counters.datagrams_malformed.increment(),
+        }
     }
 
     fn take(&self, bytes: &[u8], caller: SocketAddr, class: Option<Class>) {
@@ -151,6 +155,11 @@
     }
 }
 
+/// Returns whether only the executor named in a datagram's token may handle it.
+const fn has_executor(body: &DatagramBody) -> bool {
+    matches!(body, DatagramBody::Request(_) | DatagramBody::Cancel(_))
+}
+
 fn class_of(datagram: &Datagram) -> Class {
     Class {
         service: datagram.service,
--- a/crates/standins/src/settings.rs
+++ b/crates/standins/src/settings.rs
@@ -3,9 +3,22 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
+use tanager_wire::{KeyNumber, KeyRing, Secret};
+
 /// A secret for tests.
 const SECRET: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
+/// Returns the keys of the test fleets, with which tests look into tokens.
+///
+/// # Panics
+///
+/// Never; the secret is a constant.
+#[must_use]
+pub fn key_ring() -> KeyRing {
+    let secret: Secret = SECRET.parse().expect("the secret has 64 digits");
+    KeyRing::new((KeyNumber::new(1), secret), None)
+}
+
 /// An entry instance of a test fleet.
 #[derive(Debug, Clone)]
 pub struct Instance {
--- /dev/null
+++ b/crates/standins/tests/hostile.rs
@@ -0,0 +1,57 @@
+//! Input that no correct caller, peer or operator sends.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use support::{RawCaller, buzz, fleet};
+use tanager_core::{FlowId, Incarnation, ServiceId};
+use tanager_standins::settings::key_ring;
+use tanager_wire::{Datagram, DatagramBody, FlowKind, Open, Token};
+use tanagerproxy::peer::{Peers, RelayReply, Relayed, TcpNetwork};
+use tokio::net::UdpSocket;
+use tokio::time::timeout;
+
+/// Time in which a reply that must not come would have come.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+fn open(kind: FlowKind) -> DatagramBody {
+    let flow = FlowId::random();
+    DatagramBody::Open(Open {
+        flow,
+        kind,
+        resume_from: 0,
+    })
+}
+
+fn relayed(executor: Incarnation, caller: &UdpSocket, body: DatagramBody) -> Relayed {
+    let service = ServiceId::new(1);
+    Relayed {
+        executor,
+        caller: caller.local_addr().expect("address"),
+        datagram: Datagram { service, body }.encode().expect("datagram"),
+    }
+}
+
+/// Guards against a faulty peer that opens, moves or ends flows through the call meant for
+/// requests, past the shares of the receive loop.
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_relay_only_requests_and_cancels() {
+    let fleet = fleet(1, buzz(1), 41).await;
+    let raw_caller = RawCaller::start(&fleet).await;
+    let opened = raw_caller.open(1, FlowId::random()).await;
+    let token = Token::open(&opened.token, &key_ring()).expect("token");
+    let counters = fleet.nodes[0].node.counters();
+    let before = counters.datagrams_malformed.get();
+    let caller = UdpSocket::bind("127.0.0.1:0").await.expect("socket");
+    let peers = Peers::new(Arc::new(TcpNetwork));
+
+    let session = relayed(token.executor.incarnation, &caller, open(FlowKind::Session));
+    let reply = peers.relay(token.executor.address, session).await;
+
+    assert_eq!(reply.expect("reply"), RelayReply::Taken);
+    let received = timeout(PROBE_TIME, caller.recv(&mut [0; 2_048])).await;
+    assert!(received.is_err(), "the session was opened");
+    assert_eq!(counters.datagrams_malformed.get(), before + 1);
+}
