Count feeds and requests for unknown services

Cause: the counter services_unknown was shown by status and metrics and never changed. Change: a feed or request refused with ServiceUnknown counts.

--- a/crates/proxy/src/execution/executor.rs
+++ b/crates/proxy/src/execution/executor.rs
@@ -264,6 +264,9 @@
             RunState::NotRun => self.counters.requests_not_run.increment(),
             RunState::Unknown => self.counters.requests_unknown.increment(),
         }
+        if code == ResultCode::ServiceUnknown {
+            self.counters.services_unknown.increment();
+        }
         self.log_refusal(service, request, code, state);
         let refusal = Refusal {
             request,
--- a/crates/proxy/src/flow/flows.rs
+++ b/crates/proxy/src/flow/flows.rs
@@ -265,6 +265,9 @@
         caller: SocketAddr,
     ) {
         self.counters.flows_reset.increment();
+        if code == ResultCode::ServiceUnknown {
+            self.counters.services_unknown.increment();
+        }
         let decision = Decision::flow(Part::Flow, DecisionKind::ResetFlow, service, flow);
         self.log
             .decide(decision.because(code, caller, code.description().trim()));
--- a/crates/proxy/src/telemetry/metrics.rs
+++ b/crates/proxy/src/telemetry/metrics.rs
@@ -63,7 +63,7 @@
     pub ingress_dropped: Counter,
     /// Tokens and routes refused as forged or as belonging to another service or flow.
     pub tokens_refused: Counter,
-    /// Datagrams for services that the catalogue does not have.
+    /// Opens of feeds and requests refused because the catalogue does not have their service.
     pub services_unknown: Counter,
     /// Datagrams sent to callers.
     pub datagrams_sent: Counter,
--- a/crates/standins/tests/hostile.rs
+++ b/crates/standins/tests/hostile.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use support::{RawCaller, buzz, fleet};
-use tanager_core::{FlowId, Incarnation, ServiceId};
+use bytes::Bytes;
+use support::{RawCaller, buzz, fleet, wait_until};
+use tanager_core::{FlowId, Incarnation, RequestId, ServiceId};
 use tanager_standins::settings::key_ring;
-use tanager_wire::{Datagram, DatagramBody, FlowKind, Open, Token};
+use tanager_wire::{Datagram, DatagramBody, Deadline, FlowKind, FragmentMap, Open, Request, Token};
 use tanagerproxy::peer::{Peers, RelayReply, Relayed, TcpNetwork};
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
@@ -55,3 +56,27 @@
     assert!(received.is_err(), "the session was opened");
     assert_eq!(counters.datagrams_malformed.get(), before + 1);
 }
+
+/// Guards against a counter that stays at 0 while callers use a number that no entry has.
+#[tokio::test(flavor = "multi_thread")]
+async fn datagrams_for_unknown_services_are_counted() {
+    const UNKNOWN: u32 = 99;
+    let fleet = fleet(1, buzz(1), 42).await;
+    let caller = RawCaller::start(&fleet).await;
+    let request = Request {
+        request: RequestId::random(),
+        token: None,
+        repeatable: true,
+        deadline: Deadline::Budget(1_000),
+        answer: 0,
+        have: FragmentMap::default(),
+        body: Bytes::new(),
+    };
+
+    caller.send(UNKNOWN, open(FlowKind::Feed)).await;
+    caller.send(UNKNOWN, DatagramBody::Request(request)).await;
+
+    let unknown = || fleet.nodes[0].node.counters().services_unknown.get();
+    let counted = wait_until(Duration::from_secs(5), || unknown() == 2).await;
+    assert!(counted, "{} were counted", unknown());
+}
