Close status connections without a request after 5 s

Cause: the status server had no limit on the time for a request, so connections that never send one used up file descriptors. Change: a connection without a complete request head for 5 s is closed.

--- a/crates/proxy/src/status/server.rs
+++ b/crates/proxy/src/status/server.rs
@@ -1,11 +1,12 @@
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, header};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -15,6 +16,10 @@
 use crate::status::{StatusPage, UsagePage};
 use crate::telemetry::Part;
 
+/// A connection without a complete request for this long is closed. It also ends those whose
+/// client vanished without a word.
+const REQUEST_LIMIT: Duration = Duration::from_secs(5);
+
 /// What the pages are made from.
 struct Pages {
     node: Arc<Node>,
@@ -35,7 +40,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&pages)))),
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(50)).await,
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
         }
     }
 }
@@ -45,7 +50,10 @@
         let response = pages.respond(&request);
         async move { Ok::<_, Infallible>(response) }
     });
-    let connection = hyper::server::conn::http1::Builder::new();
+    let mut connection = hyper::server::conn::http1::Builder::new();
+    connection
+        .timer(TokioTimer::new())
+        .header_read_timeout(REQUEST_LIMIT);
     // An operator that closes the connection early is no fault of this instance.
     let _ = connection
         .serve_connection(TokioIo::new(stream), service)
--- a/crates/standins/tests/hostile.rs
+++ b/crates/standins/tests/hostile.rs
@@ -11,11 +11,14 @@
 use tanager_standins::settings::key_ring;
 use tanager_wire::{Datagram, DatagramBody, Deadline, FlowKind, FragmentMap, Open, Request, Token};
 use tanagerproxy::peer::{Peers, RelayReply, Relayed, TcpNetwork};
-use tokio::net::UdpSocket;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::time::timeout;
 
 /// Time in which a reply that must not come would have come.
 const PROBE_TIME: Duration = Duration::from_secs(1);
+/// Time after which a connection without a request must have been closed.
+const CLOSE_TIME: Duration = Duration::from_secs(10);
 
 fn open(kind: FlowKind) -> DatagramBody {
     let flow = FlowId::random();
@@ -80,3 +83,15 @@
     let counted = wait_until(Duration::from_secs(5), || unknown() == 2).await;
     assert!(counted, "{} were counted", unknown());
 }
+
+/// Guards against connections without a request that use up the file descriptors of an instance.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_connections_without_a_request_are_closed() {
+    let fleet = fleet(1, buzz(1), 43).await;
+    let address = fleet.nodes[0].node.status_address();
+    let mut stream = TcpStream::connect(address).await.expect("connection");
+
+    let read = timeout(CLOSE_TIME, stream.read(&mut [0; 64])).await;
+
+    assert!(read.is_ok(), "the connection is still open");
+}
