Remove result codes and a kind of decision that nothing uses

Cause: operators could look up TokenMismatch (205) and PlatformStale (703), which no log line or answer carries, and DecisionKind::Relay, which is never logged because forwarding by token is not a decision. Change: they and their rows are removed, and the type alias InvariantCounter. Refused tokens are counted by tokens_refused, and stale documents by platform_unusable, as before. The numbers 205 and 703 stay free.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -65,8 +65,6 @@
     PacketVersion = 203,
     /// The message authentication code of a token or route is wrong.
     TokenForged = 204,
-    /// The token belongs to another service, flow or owner.
-    TokenMismatch = 205,
     /// No catalogue entry has the service number of the datagram.
     ServiceUnknown = 206,
     /// No usable target can take the flow.
@@ -133,8 +131,6 @@
     PeerUnreachable = 701,
     /// The platform cannot be reached.
     PlatformUnreachable = 702,
-    /// The platform served data older than what is in force.
-    PlatformStale = 703,
 }
 
 impl ResultCode {
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -1,9 +1,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Counts violated invariants of the process.
-pub type InvariantCounter = AtomicU64;
-
-static VIOLATIONS: InvariantCounter = AtomicU64::new(0);
+static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
 
 /// Records one violated invariant and writes it to standard error, which also works while the
 /// log queue is full.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,7 @@
     FlowId, Generation, Incarnation, InstanceName, OwnerName, RegionName, RequestId, Revision,
     ServiceId, ServiceName, TargetId, TargetName, ZoneName,
 };
-pub use invariant::{InvariantCounter, record_violation, violations};
+pub use invariant::{record_violation, violations};
 pub use quantity::{ByteSize, Rate, parse_duration};
 
 /// A hash map with a fast, randomly seeded hasher.
--- a/crates/proxy/src/telemetry/decision.rs
+++ b/crates/proxy/src/telemetry/decision.rs
@@ -24,8 +24,6 @@
     Dispatch,
     /// A request is refused.
     Refuse,
-    /// A request is relayed to its executor.
-    Relay,
 }
 
 impl fmt::Display for DecisionKind {
@@ -36,7 +34,6 @@
             Self::ResetFlow => "reset-flow",
             Self::Dispatch => "dispatch",
             Self::Refuse => "refuse",
-            Self::Relay => "relay",
         })
     }
 }
