Check packet sizes in one place

Cause: the same check of a size against a limit stood five times in the wire crate. Change: Error::check_size; FRAGMENT_LIMIT names the largest number of fragments. No behaviour changes.

--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -218,12 +218,7 @@
     /// Returns an error if the datagram is too large, has another protocol version, or does not
     /// decode to complete, valid fields.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        if bytes.len() > DATAGRAM_LIMIT {
-            return Err(Error::TooLarge {
-                size: bytes.len(),
-                limit: DATAGRAM_LIMIT,
-            });
-        }
+        Error::check_size(bytes.len(), DATAGRAM_LIMIT)?;
         raw::Datagram::decode(bytes)
             .map_err(|_| Error::malformed("datagram"))?
             .try_into()
@@ -236,12 +231,7 @@
     /// Returns [`Error::TooLarge`] if it would exceed [`DATAGRAM_LIMIT`].
     pub fn encode(self) -> Result<Vec<u8>> {
         let bytes = raw::Datagram::from(self).encode_to_vec();
-        if bytes.len() > DATAGRAM_LIMIT {
-            return Err(Error::TooLarge {
-                size: bytes.len(),
-                limit: DATAGRAM_LIMIT,
-            });
-        }
+        Error::check_size(bytes.len(), DATAGRAM_LIMIT)?;
         Ok(bytes)
     }
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -41,6 +41,18 @@
         Self::Malformed { part }
     }
 
+    /// Checks a size in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::TooLarge`] if `size` exceeds `limit`.
+    pub(crate) const fn check_size(size: usize, limit: usize) -> Result<()> {
+        if size > limit {
+            return Err(Self::TooLarge { size, limit });
+        }
+        Ok(())
+    }
+
     /// Returns the numbered code of this error.
     #[must_use]
     pub const fn code(&self) -> ResultCode {
--- a/crates/wire/src/fragment.rs
+++ b/crates/wire/src/fragment.rs
@@ -9,6 +9,9 @@
 /// The largest answer in bytes.
 pub const ANSWER_LIMIT: usize = 1 << 20;
 
+/// The largest number of fragments in an answer.
+const FRAGMENT_LIMIT: usize = ANSWER_LIMIT.div_ceil(FRAGMENT_PAYLOAD);
+
 /// A set of fragment positions.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct FragmentMap {
@@ -20,7 +23,7 @@
     /// Reads a bitmap, least significant bit first. Bytes past the largest answer are ignored.
     #[must_use]
     pub fn from_bytes(bytes: &[u8]) -> Self {
-        let limit = ANSWER_LIMIT.div_ceil(FRAGMENT_PAYLOAD).div_ceil(8);
+        let limit = FRAGMENT_LIMIT.div_ceil(8);
         let mut bits = bytes[..bytes.len().min(limit)].to_vec();
         while bits.last() == Some(&0) {
             bits.pop();
@@ -81,7 +84,7 @@
     /// Returns [`Error::TooLarge`] if the answer would exceed [`ANSWER_LIMIT`].
     pub fn try_new(first: &Answer) -> Result<Self> {
         let count = first.count as usize;
-        if count > ANSWER_LIMIT.div_ceil(FRAGMENT_PAYLOAD) {
+        if count > FRAGMENT_LIMIT {
             let size = count.saturating_mul(FRAGMENT_PAYLOAD);
             return Err(Error::TooLarge {
                 size,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,6 +7,7 @@
 /// header.
 pub const FRAME_LIMIT: usize = (1 << 20) + 1_024;
 
+/// Bytes of the length prefix, a big-endian `u32`.
 const PREFIX: usize = 4;
 
 /// Appends a frame with its length prefix to `buf`.
@@ -16,12 +17,7 @@
 /// Returns [`Error::TooLarge`] if the frame exceeds [`FRAME_LIMIT`]; `buf` is unchanged then.
 pub fn encode_frame<M: Message>(message: &M, buf: &mut BytesMut) -> Result<()> {
     let size = message.encoded_len();
-    if size > FRAME_LIMIT {
-        return Err(Error::TooLarge {
-            size,
-            limit: FRAME_LIMIT,
-        });
-    }
+    Error::check_size(size, FRAME_LIMIT)?;
     buf.reserve(PREFIX + size);
     buf.put_u32(u32::try_from(size).map_err(|_| Error::malformed("frame length"))?);
     message.encode(buf).map_err(|_| Error::malformed("frame"))
@@ -50,12 +46,7 @@
             return Ok(None);
         };
         let size = u32::from_be_bytes(*prefix) as usize;
-        if size > FRAME_LIMIT {
-            return Err(Error::TooLarge {
-                size,
-                limit: FRAME_LIMIT,
-            });
-        }
+        Error::check_size(size, FRAME_LIMIT)?;
         if self.buf.len() < PREFIX + size {
             self.buf.reserve(PREFIX + size - self.buf.len());
             return Ok(None);
--- a/crates/wire/src/route.rs
+++ b/crates/wire/src/route.rs
@@ -5,6 +5,7 @@
 
 use crate::{Binding, Error, KeyRing, Result};
 
+/// Separates sealed routes from sealed tokens.
 const PURPOSE: u8 = 2;
 
 /// The way back to the caller of a flow. The target repeats it without reading it, so any
--- a/crates/wire/src/token.rs
+++ b/crates/wire/src/token.rs
@@ -5,6 +5,7 @@
 
 use crate::{Error, KeyRing, Result};
 
+/// Separates sealed tokens from sealed routes.
 const PURPOSE: u8 = 1;
 
 /// The instance that alone may dispatch requests carrying a token.
