--- a/crates/proxy/src/flow/return_path.rs
+++ b/crates/proxy/src/flow/return_path.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tanager_core::FlowId;
+use tanager_core::{FlowId, ResultCode};
 use tanager_wire::{
     Binding, DatagramBody, FromTarget, KeepaliveAck, KeyRing, Reset, Route, Update,
 };
@@ -61,36 +61,22 @@
                 number,
                 held_ms,
                 ..
-            } => {
-                let held = UsageEvent::Held(held_time(held_ms));
-                self.usage.record(link.service, held);
-                let ack = DatagramBody::KeepaliveAck(KeepaliveAck { flow, number });
-                self.deliver(link, flow, &route, |_| ack);
-            }
+            } => self.take_ack(link, &route, KeepaliveAck { flow, number }, held_ms),
             FromTarget::FlowUpdate {
                 flow,
                 route,
                 sequence,
                 payload,
             } => {
-                self.usage
-                    .record(link.service, UsageEvent::Bytes(payload.len() as u64));
-                let update = DatagramBody::Update(Update {
+                let update = Update {
                     flow,
                     sequence,
                     payload,
-                });
-                self.deliver(link, flow, &route, |_| update);
+                };
+                self.take_update(link, &route, update);
             }
             FromTarget::FlowReset { flow, route, code } => {
-                self.counters.flows_reset.increment();
-                self.deliver(link, flow, &route, |binding| {
-                    DatagramBody::Reset(Reset {
-                        flow,
-                        code,
-                        binding: Some(binding),
-                    })
-                });
+                self.take_reset(link, &route, flow, code);
             }
             FromTarget::HelloAck { .. }
             | FromTarget::RunDone { .. }
@@ -99,6 +85,30 @@
         }
     }
 
+    fn take_ack(&self, link: &TargetLink, route: &Bytes, ack: KeepaliveAck, held_ms: u64) {
+        let held = UsageEvent::Held(held_time(held_ms));
+        self.usage.record(link.service, held);
+        self.deliver(link, ack.flow, route, |_| DatagramBody::KeepaliveAck(ack));
+    }
+
+    fn take_update(&self, link: &TargetLink, route: &Bytes, update: Update) {
+        let bytes = UsageEvent::Bytes(update.payload.len() as u64);
+        self.usage.record(link.service, bytes);
+        let flow = update.flow;
+        self.deliver(link, flow, route, |_| DatagramBody::Update(update));
+    }
+
+    fn take_reset(&self, link: &TargetLink, route: &Bytes, flow: FlowId, code: ResultCode) {
+        self.counters.flows_reset.increment();
+        self.deliver(link, flow, route, |binding| {
+            DatagramBody::Reset(Reset {
+                flow,
+                code,
+                binding: Some(binding),
+            })
+        });
+    }
+
     /// Sends a datagram along a route that the target repeated. A route of another service or
     /// flow is refused, so that a target cannot reach another service's callers.
     fn deliver(
