Test how changes spread when few instances watch

Cause: nothing showed that an instance that does not watch gets a change when watchers fail.

Ruled out: counting platform calls of a fleet of 12 in a short window as the check of the call limit; calls of small documents come in bursts of 16 s to 20 s, so that the verdict would depend on the moment. The limit is checked by a simulation of 670 instances with a fixed seed instead.

Shared fixtures moved to tests/common. Pulls of one document take turns, so that the survey at start and an announcement do not both transfer the text.

--- a/crates/proxy/src/catalogue/pace_tests.rs
+++ b/crates/proxy/src/catalogue/pace_tests.rs
@@ -4,7 +4,7 @@
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
-use crate::catalogue::pace::Pace;
+use crate::catalogue::pace::{Pace, check_interval, hold, rest};
 
 /// The design size.
 const INSTANCES: usize = 670;
@@ -89,3 +89,55 @@
 
     assert!(busiest < 100, "{busiest} calls in a second");
 }
+
+/// Watchers of the fleet: 3 in each of 6 zones.
+const WATCHERS: usize = 18;
+/// Size of the catalogue of the design size in bytes.
+const CATALOGUE: usize = 581_273;
+
+/// Simulates a fleet in which only some instances watch, and returns the calls in each second.
+/// The platform publishes a change every 10 s.
+fn calls_with_watchers(down: impl Fn(u64) -> bool, seconds: usize) -> Vec<usize> {
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut calls = vec![0; seconds];
+    for caller in 0..INSTANCES * DOCUMENTS {
+        let is_watcher = caller < WATCHERS * DOCUMENTS;
+        let callers = if is_watcher { WATCHERS } else { INSTANCES };
+        let mut pace = Pace::default();
+        let mut now = Duration::ZERO;
+        if !is_watcher {
+            now += check_interval(INSTANCES, &mut rng);
+        }
+        while let Some(count) = calls.get_mut(usize::try_from(now.as_secs()).expect("fits")) {
+            *count += 1;
+            let is_down = down(now.as_secs());
+            now += if is_down {
+                pace.after_failure(Some(callers), &mut rng)
+            } else {
+                pace.after_answer(callers, &mut rng)
+            };
+            now += match (is_watcher, is_down) {
+                (true, true) => Duration::ZERO,
+                (true, false) => {
+                    let end = now + hold(CATALOGUE, WAIT).mul_f64(rng.random_range(0.8..1.0));
+                    let change = Duration::from_secs(now.as_secs() / 10 * 10 + 10);
+                    end.min(change).saturating_sub(now) + rest(CATALOGUE, &mut rng)
+                }
+                (false, _) => check_interval(INSTANCES, &mut rng),
+            };
+        }
+    }
+    calls
+}
+
+/// Guards against more than 100 calls a second by watchers and the checks of all others, also
+/// while the platform is down and when it returns.
+#[test]
+fn watchers_and_checks_stay_under_the_call_limit() {
+    let calls = calls_with_watchers(|now| (100..200).contains(&now), 400);
+
+    let busiest = calls.iter().max().copied().unwrap_or(0);
+    let mean = calls[10..100].iter().sum::<usize>() / 90;
+    println!("{mean} calls a second, {busiest} in the busiest");
+    assert!(busiest < 100, "{busiest} calls in a second");
+}
--- a/crates/proxy/src/membership/pull.rs
+++ b/crates/proxy/src/membership/pull.rs
@@ -21,6 +21,8 @@
 pub struct Pulls {
     catalogue: Mutex<Offers>,
     instances: Mutex<Offers>,
+    /// Held during a pull. The survey at start and announcements must not both transfer a text.
+    turns: [tokio::sync::Mutex<()>; 2],
 }
 
 /// Offers of one document.
@@ -57,6 +59,12 @@
         None
     }
 
+    async fn turn(&self, kind: DocumentKind) -> tokio::sync::MutexGuard<'_, ()> {
+        self.turns[usize::from(kind == DocumentKind::Instances)]
+            .lock()
+            .await
+    }
+
     fn offers(&self, kind: DocumentKind) -> MutexGuard<'_, Offers> {
         let offers = match kind {
             DocumentKind::Catalogue => &self.catalogue,
@@ -91,6 +99,7 @@
 
     /// Fetches a peer's document unless this instance has the revision by now.
     pub(super) async fn pull(&self, kind: DocumentKind, revision: Revision, peer: SocketAddr) {
+        let _turn = self.pulls.turn(kind).await;
         let own = self.published(kind);
         let refused = kind == DocumentKind::Catalogue && self.catalogue.is_refused(revision);
         if own.revision >= revision || refused {
--- a/crates/standins/tests/catalogue.rs
+++ b/crates/standins/tests/catalogue.rs
@@ -1,5 +1,7 @@
 //! Catalogue changes and usage across a fleet, with the platform down, stale or cut off.
 
+mod common;
+
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
@@ -8,18 +10,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use serde_json::Value;
 use tanager_core::RequestId;
 use tanager_standins::caller::{Caller, Outcome};
-use tanager_standins::fleet::{Fleet, Plan, service};
+use tanager_standins::fleet::Fleet;
 use tanager_standins::platform::Fault;
 use tanager_standins::settings::catalogue;
 use tanagerproxy::Node;
 use tanagerproxy::peer::{Network, PeerStream, TcpNetwork};
 use tokio::time::{Instant, sleep};
 
-/// Goal for an accepted change to be in force everywhere.
-const IN_FORCE: Duration = Duration::from_secs(6);
+use crate::common::{IN_FORCE, all_have, cut, fleet, page, revisions, within};
+
 /// Goal for the last new work of something that leaves.
 const LEAVING_KNOWN: Duration = Duration::from_secs(3);
 /// Usage of the last 2 s may be lost with a killed instance.
@@ -27,52 +28,6 @@
 /// Longest wait for totals to agree; it bounds the test, not a goal.
 const AGREEMENT: Duration = Duration::from_secs(20);
 
-async fn fleet(nodes: usize) -> Fleet {
-    let plan = Plan {
-        nodes,
-        services: vec![
-            (service("buzz", 1, "abay"), 2),
-            (service("print", 2, "kuiseb"), 2),
-        ],
-        seed: 3,
-    };
-    Fleet::start(plan).await.expect("fleet")
-}
-
-/// Waits until `done` holds and returns whether it did within `limit`.
-async fn within(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
-    let end = Instant::now() + limit;
-    while !done() {
-        if Instant::now() > end {
-            return false;
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
-    true
-}
-
-async fn all_have(fleet: &Fleet, revision: u64) -> bool {
-    within(IN_FORCE, || {
-        fleet.running().all(|n| n.revision().get() >= revision)
-    })
-    .await
-}
-
-fn revisions(fleet: &Fleet) -> Vec<u64> {
-    fleet.running().map(|n| n.revision().get()).collect()
-}
-
-async fn page(node: &Node, path: &str) -> Value {
-    let url = format!("http://{}{path}", node.status_address());
-    let reply = reqwest::get(url).await.expect("reply");
-    reply.json().await.expect("json")
-}
-
-fn cut(fleet: &Fleet, zones: &[&str]) {
-    let zones = zones.iter().map(|z| (*z).to_owned());
-    fleet.platform.cut_zones(zones);
-}
-
 /// Guards against a change that does not reach every instance in time.
 #[tokio::test(flavor = "multi_thread")]
 async fn change_is_in_force_everywhere_in_time() {
