Count only answers of peers against watching for oneself

Cause: an instance that peers can call, but that cannot call out, hears of every change, cannot pull it, and did not watch.

Ruled out: watching after a failed pull only; the change would wait for one timeout per offer.

Change: an instance is informed only while a peer has answered it within 3 s.

--- a/crates/proxy/src/membership/gossip.rs
+++ b/crates/proxy/src/membership/gossip.rs
@@ -166,6 +166,7 @@
         self.sent_call(&own);
         if let Ok(reply) = self.peers.exchange(peer, own).await {
             self.received_reply(&reply);
+            self.membership.note_answer();
             self.take(&reply);
             Some(reply)
         } else {
--- a/crates/proxy/src/membership/tests.rs
+++ b/crates/proxy/src/membership/tests.rs
@@ -3,7 +3,7 @@
 
 use tanager_core::{Incarnation, ResultCode, Revision};
 
-use crate::membership::{InstanceState, MEMBERS_LIMIT, Member, Membership};
+use crate::membership::{InstanceState, MEMBERS_LIMIT, Member, Membership, Watching};
 use crate::peer::Heartbeat;
 use crate::{Error, Identity};
 
@@ -151,3 +151,19 @@
     assert_eq!(lines, expected);
     assert_eq!(membership.list().instances.len(), 3);
 }
+
+/// Guards against an instance that hears of changes from peers, cannot call any to pull them, and
+/// does not watch either.
+#[test]
+fn only_answers_of_peers_make_an_instance_informed() {
+    let membership = membership();
+    (1..=40).for_each(|n| membership.hear(&heartbeat(n, n + 1, InstanceState::Live)));
+    membership.tick();
+
+    let heard = membership.watching();
+    membership.note_answer();
+    let answered = membership.watching();
+
+    assert_eq!(heard, Watching::Alone { instances: 41 });
+    assert_eq!(answered, Watching::Informed { instances: 41 });
+}
--- a/crates/proxy/src/membership/view.rs
+++ b/crates/proxy/src/membership/view.rs
@@ -110,6 +110,12 @@
         self.history.answer(&self.published(), request)
     }
 
+    /// Notes that a peer answered a call of this instance. Calls of peers do not count: documents
+    /// are pulled, so that an instance that cannot call out has to watch for itself.
+    pub(super) fn note_answer(&self) {
+        self.roles.note_answer(self.clock.now());
+    }
+
     /// Returns how this instance learns of changes on the platform.
     #[must_use]
     pub fn watching(&self) -> Watching {
@@ -143,7 +149,6 @@
     /// Takes what a peer says about itself and about others.
     pub fn hear(&self, heartbeat: &Heartbeat) {
         let now = self.clock.now();
-        self.roles.note_heard(now);
         let sender = Member {
             instance: ListedInstance {
                 name: heartbeat.name.clone(),
--- a/crates/proxy/src/membership/watchers.rs
+++ b/crates/proxy/src/membership/watchers.rs
@@ -11,7 +11,7 @@
 /// Watchers of an availability zone. Two may fail at the same moment and the zone still has one
 /// until the list names others.
 const ZONE_WATCHERS: usize = 3;
-/// An instance that heard from no peer for this long watches for itself. Rounds of heartbeats are
+/// An instance that got no answer from a peer for this long watches for itself. Rounds of heartbeats are
 /// 1 s apart; a change must be in force within 6 s of its acceptance.
 const SILENCE: Duration = Duration::from_secs(3);
 
@@ -23,7 +23,7 @@
         /// Watchers in the fleet.
         watchers: usize,
     },
-    /// It hears from no peer and watches for itself.
+    /// No peer answers it, and it watches for itself.
     Alone {
         /// Instances of the fleet, all of which may be alone.
         instances: usize,
@@ -51,14 +51,14 @@
     watcher: AtomicBool,
     /// Watchers in the fleet.
     watchers: AtomicUsize,
-    /// When a peer was last heard from.
-    heard: Mutex<Option<Millis>>,
+    /// When a peer last answered.
+    answered: Mutex<Option<Millis>>,
 }
 
 impl Roles {
-    /// Notes that a peer was heard from.
-    pub(super) fn note_heard(&self, now: Millis) {
-        *self.heard.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
+    /// Notes that a peer answered.
+    pub(super) fn note_answer(&self, now: Millis) {
+        *self.answered.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
     }
 
     /// Assigns the role among the known members.
@@ -81,11 +81,11 @@
     }
 
     pub(super) fn watching(&self, now: Millis, instances: usize) -> Watching {
-        let heard = *self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let answered = *self.answered.lock().unwrap_or_else(PoisonError::into_inner);
         if self.watcher.load(Ordering::Relaxed) {
             let watchers = self.watchers.load(Ordering::Relaxed).max(1);
             Watching::Watcher { watchers }
-        } else if heard.is_some_and(|at| now.since(at) <= SILENCE) {
+        } else if answered.is_some_and(|at| now.since(at) <= SILENCE) {
             Watching::Informed { instances }
         } else {
             Watching::Alone { instances }
--- a/crates/proxy/src/membership/watchers_tests.rs
+++ b/crates/proxy/src/membership/watchers_tests.rs
@@ -16,7 +16,7 @@
     }
 }
 
-/// Returns the roles of all instances 1 s after each heard from another one.
+/// Returns the roles of all instances 1 s after each was answered by another one.
 fn fleet(size: usize, zones: usize, leaving: &[usize]) -> Vec<Watching> {
     let mut all: Vec<_> = (0..size).map(|n| instance(n, zones)).collect();
     for number in leaving {
@@ -33,7 +33,7 @@
         let mut others = all.clone();
         others.remove(own);
         let roles = Roles::default();
-        roles.note_heard(Millis::new(1_000));
+        roles.note_answer(Millis::new(1_000));
         roles.assign(&identity, &others);
         roles.watching(Millis::new(2_000), size)
     };
@@ -77,7 +77,7 @@
 
 /// Guards against an instance cut from its peers that waits for them to tell it of changes.
 #[test]
-fn instance_that_hears_from_no_peer_watches_for_itself() {
+fn instance_without_answers_of_peers_watches_for_itself() {
     let others: Vec<_> = (1..10).map(|n| instance(n, 1)).collect();
     let mut informed = 0;
     for own in &others {
@@ -91,7 +91,7 @@
         };
         let roles = Roles::default();
         roles.assign(&identity, &rest.collect::<Vec<_>>());
-        roles.note_heard(Millis::new(1_000));
+        roles.note_answer(Millis::new(1_000));
         let at = |time| roles.watching(Millis::new(1_000) + Duration::from_millis(time), 9);
         if at(3_000) == (Watching::Informed { instances: 9 }) {
             informed += 1;
