Report platform calls and goals in the changes experiment

Cause: the experiment at design-size documents did not show the calls of the whole fleet, which rise when watchers of large documents hold calls for 1 s only.

Ruled out: the per-instance figure of the control experiment, which falls with the fleet and is not comparable between small and large documents.

Change: fleet_calls_per_s, and the goals of 100 calls a second and 6 s.

--- a/crates/standins/src/bin/tanager-bench/changes.rs
+++ b/crates/standins/src/bin/tanager-bench/changes.rs
@@ -40,8 +40,11 @@
     let time = Duration::from_secs(plan.seconds);
     let start = sample(&fleet).await;
     sleep(time).await;
-    let idle = per_second(&start, &sample(&fleet).await, time);
+    let end = sample(&fleet).await;
+    let idle = per_second(&start, &end, time);
+    let calls = (end["calls"] - start["calls"]) / time.as_secs_f64();
     let mut report = Report::default();
+    report.figures.push(("fleet_calls_per_s", calls));
     for document in [Document::Catalogue, Document::List] {
         let [bytes, in_force, missed] = run(&mut fleet, document, time, idle).await;
         let names = match document {
--- a/crates/standins/src/bin/tanager-bench/report.rs
+++ b/crates/standins/src/bin/tanager-bench/report.rs
@@ -33,6 +33,8 @@
         (_, "control_core_percent") => Goal::Most(4.2),
         (_, "memory_mb") => Goal::Most(128.0),
         (_, "platform_calls_per_s") => Goal::Most(100.0 / 670.0),
+        (_, "fleet_calls_per_s") => Goal::Most(100.0),
+        (_, "catalogue_in_force_ms_max" | "list_known_ms_max") => Goal::Most(6_000.0),
         (_, "forward_ratio") => Goal::Least(0.7),
         (_, "bytes_per_held_flow") => Goal::Most(200.0),
         _ => return None,
