--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -2,18 +2,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
-use rand::seq::IteratorRandom as _;
 use tanager_core::{Clock, Revision, ZoneName};
 
-use crate::catalogue::{CatalogueStore, Reader};
+use crate::catalogue::{CatalogueStore, DocumentKind, DocumentReply, DocumentRequest, Reader};
 use crate::execution::{Execution, Refresh};
 use crate::flow::CallerSocket;
 use crate::ingress::Ingress;
 use crate::membership::{Gossip, Membership};
 use crate::node::assembly::Base;
 use crate::node::sockets::{Sockets, address_of};
-use crate::peer::{CatalogueText, Heartbeat, Network, PeerHandler, RelayReply, Relayed};
+use crate::peer::{Heartbeat, Network, PeerHandler, RelayReply, Relayed};
 use crate::routing::Router;
 use crate::settings::{PlatformSettings, Settings};
 use crate::target::TargetPool;
@@ -30,8 +28,6 @@
 /// Longest time that requests in flight are waited for. It exceeds the longest deadline and the
 /// time that a run may take after it.
 const DRAIN_LIMIT: Duration = Duration::from_secs(65);
-/// Peers asked for a newer catalogue after a pause.
-const REFRESH_PEERS: usize = 3;
 
 /// An entry instance.
 pub struct Node {
@@ -168,8 +164,9 @@
             Arc::clone(&self.counters),
             self.log.clone(),
         ));
-        tokio::spawn(Arc::clone(&reader).watch_catalogue());
-        tokio::spawn(reader.watch_instances());
+        for kind in [DocumentKind::Catalogue, DocumentKind::Instances] {
+            tokio::spawn(Arc::clone(&reader).follow(kind));
+        }
     }
 
     /// Adapts the target links to every new catalogue.
@@ -184,34 +181,20 @@
         }
     }
 
-    /// Returns how this instance reads its view anew after a pause: the newest catalogue that
-    /// some peers hold. The platform's watches and the target links catch up by themselves.
-    fn refresh(self: &Arc<Self>) -> Refresh {
-        let node = Arc::downgrade(self);
+    /// Returns how this instance reads its view anew after a pause: what some peers know, and the
+    /// newest catalogue that they hold. The platform's watches and the target links catch up by
+    /// themselves.
+    fn refresh(&self) -> Refresh {
+        let gossip = Arc::downgrade(&self.gossip);
         Box::new(move || {
-            let node = node.upgrade();
+            let gossip = gossip.upgrade();
             Box::pin(async move {
-                if let Some(node) = node {
-                    node.pull_catalogue().await;
+                if let Some(gossip) = gossip {
+                    gossip.refresh().await;
                 }
             })
         })
     }
-
-    async fn pull_catalogue(&self) {
-        let peers = self.membership.others();
-        let some = peers.iter().sample(&mut rand::rng(), REFRESH_PEERS);
-        let revision = self.revision();
-        let calls = some
-            .into_iter()
-            .map(|peer| self.execution.peers.catalogue(peer.address, revision));
-        for reply in join_all(calls).await {
-            if let Ok(Some(catalogue)) = reply {
-                // A peer's older or invalid catalogue is refused and reported by the store.
-                let _ = self.catalogue.offer(&catalogue.text);
-            }
-        }
-    }
 }
 
 impl PeerHandler for Node {
@@ -219,8 +202,8 @@
         self.gossip.answer(&heartbeat)
     }
 
-    fn catalogue(&self, after: Revision) -> Option<CatalogueText> {
-        self.gossip.document(after)
+    fn document(&self, request: &DocumentRequest) -> Option<DocumentReply> {
+        self.gossip.document(request)
     }
 
     fn relay(&self, relayed: Relayed) -> RelayReply {
--- a/crates/proxy/src/node/assembly.rs
+++ b/crates/proxy/src/node/assembly.rs
@@ -12,7 +12,7 @@
 use crate::execution::{Execution, PauseGuard, Requests};
 use crate::flow::{CallerSocket, Flows, PendingOpens, ReturnPath};
 use crate::ingress::Ingress;
-use crate::membership::{Gossip, Membership};
+use crate::membership::{Gossip, Membership, Pulls};
 use crate::node::Node;
 use crate::peer::{Network, Peers};
 use crate::routing::Router;
@@ -109,7 +109,7 @@
             counters: Arc::clone(&self.counters),
             rate: ControlRate::default(),
             log: self.log.clone(),
-            pulling: AtomicBool::new(false),
+            pulls: Pulls::default(),
             surveyed: AtomicBool::new(false),
         })
     }
--- a/crates/proxy/src/peer/client.rs
+++ b/crates/proxy/src/peer/client.rs
@@ -2,12 +2,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tanager_core::{FastMap, Revision};
+use tanager_core::FastMap;
 use tarpc::context;
 use tokio::time::Instant;
 
+use crate::catalogue::{DocumentReply, DocumentRequest};
 use crate::peer::connection::Connection;
-use crate::peer::{CatalogueText, Heartbeat, Network, RelayReply, Relayed};
+use crate::peer::{Heartbeat, Network, RelayReply, Relayed};
 use crate::{Error, Result};
 
 /// Longest wait for a peer's reply, with the connection already open.
@@ -58,19 +59,19 @@
         call.await.map_err(|cause| Error::peer(address, &cause))
     }
 
-    /// Fetches a peer's catalogue if it is newer than `after`.
+    /// Fetches a document from a peer that has a newer one.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Peer`] if the peer does not answer in time.
-    pub async fn catalogue(
+    pub async fn document(
         &self,
         address: SocketAddr,
-        after: Revision,
-    ) -> Result<Option<CatalogueText>> {
+        request: DocumentRequest,
+    ) -> Result<Option<DocumentReply>> {
         let connection = self.connection(address);
         let call =
-            connection.call(|client| async move { client.catalogue(context(), after).await });
+            connection.call(|client| async move { client.document(context(), request).await });
         call.await.map_err(|cause| Error::peer(address, &cause))
     }
 
--- a/crates/proxy/src/peer/client_tests.rs
+++ b/crates/proxy/src/peer/client_tests.rs
@@ -4,13 +4,12 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use tanager_core::{Incarnation, Revision};
+use tanager_core::Incarnation;
 use tokio::net::TcpListener;
 
+use crate::catalogue::{DocumentReply, DocumentRequest};
 use crate::peer::network::Connecting;
-use crate::peer::{
-    CatalogueText, Heartbeat, Network, PeerHandler, Peers, RelayReply, Relayed, TcpNetwork, serve,
-};
+use crate::peer::{Heartbeat, Network, PeerHandler, Peers, RelayReply, Relayed, TcpNetwork, serve};
 
 #[derive(Default)]
 struct CountingNetwork(AtomicUsize);
@@ -29,7 +28,7 @@
         heartbeat
     }
 
-    fn catalogue(&self, _: Revision) -> Option<CatalogueText> {
+    fn document(&self, _: &DocumentRequest) -> Option<DocumentReply> {
         None
     }
 
--- a/crates/proxy/src/peer/mod.rs
+++ b/crates/proxy/src/peer/mod.rs
@@ -9,7 +9,7 @@
 pub use client::Peers;
 pub use network::{Connecting, Network, PeerStream, TcpNetwork};
 pub use server::{PeerHandler, serve};
-pub use service::{CatalogueText, Heartbeat, Peer, PeerClient, RelayReply, Relayed};
+pub use service::{Heartbeat, Peer, PeerClient, RelayReply, Relayed};
 
 #[cfg(test)]
 mod client_tests;
--- a/crates/standins/src/bin/tanager-bench/fleet.rs
+++ b/crates/standins/src/bin/tanager-bench/fleet.rs
@@ -78,7 +78,7 @@
     violations: u64,
     dir: PathBuf,
     next_balancer: usize,
-    instances_revision: u64,
+    pub instances_revision: u64,
     http: reqwest::Client,
 }
 
@@ -336,12 +336,17 @@
     }
 
     pub fn publish_instances(&mut self) {
+        let text = self.next_instances();
+        self.platform.publish_instances(&text);
+    }
+
+    /// Returns the instance list under the next revision.
+    pub fn next_instances(&mut self) -> String {
         self.instances_revision += 1;
         self.stopping.retain_mut(|b| !b.is_ended());
         let listed = self.balancers.iter().chain(&self.stopping);
         let instances: Vec<Instance> = listed.map(|b| b.instance.clone()).collect();
-        self.platform
-            .publish_instances(&instance_list(self.instances_revision, &instances));
+        instance_list(self.instances_revision, &instances)
     }
 
     /// Makes the fabric use all balancers.
--- a/crates/standins/src/bin/tanager-bench/quiet.rs
+++ b/crates/standins/src/bin/tanager-bench/quiet.rs
@@ -16,7 +16,7 @@
 use crate::report::Report;
 
 /// Time for connections and lists to settle before something is measured.
-const SETTLE: Duration = Duration::from_secs(5);
+pub const SETTLE: Duration = Duration::from_secs(5);
 /// Rate of a flood over the capacity of the flooded work.
 const FLOOD_FACTOR: f64 = 10.0;
 /// Requests a second far above any flood.
@@ -265,7 +265,7 @@
 }
 
 /// Sums over all instances.
-async fn sample(fleet: &Fleet) -> FastMap<&'static str, f64> {
+pub async fn sample(fleet: &Fleet) -> FastMap<&'static str, f64> {
     let mut sums: FastMap<&'static str, f64> = FastMap::default();
     sums.insert("calls", figure(fleet.platform.calls()));
     for (index, balancer) in fleet.balancers.iter().enumerate() {
