--- a/crates/proxy/src/membership/tests.rs
+++ b/crates/proxy/src/membership/tests.rs
@@ -36,6 +36,8 @@
         rows: 0,
         usage: Vec::new(),
         members: Vec::new(),
+        demand: Vec::new(),
+        loans: Vec::new(),
     }
 }
 
--- a/crates/proxy/src/node/assembly.rs
+++ b/crates/proxy/src/node/assembly.rs
@@ -7,7 +7,7 @@
 use tokio::net::UdpSocket;
 
 use crate::Identity;
-use crate::admission::Admission;
+use crate::admission::{Admission, Lending};
 use crate::catalogue::CatalogueStore;
 use crate::execution::{Execution, PauseGuard, Requests};
 use crate::flow::{CallerSocket, Flows, PendingOpens, ReturnPath};
@@ -32,6 +32,7 @@
     catalogue: Arc<CatalogueStore>,
     membership: Arc<Membership>,
     usage: Arc<Usage>,
+    lending: Arc<Lending>,
     peers: Arc<Peers>,
     pending: Arc<PendingOpens>,
     pauses: Arc<PauseGuard>,
@@ -61,6 +62,8 @@
             address: settings.peers,
         };
         let counters = Arc::<Counters>::default();
+        let catalogue = Arc::<CatalogueStore>::default();
+        let membership = Arc::new(Membership::new(identity));
         Self {
             keys: settings.keys.clone(),
             log,
@@ -69,8 +72,9 @@
             network,
             callers: CallerSocket::new(Arc::new(socket), Arc::clone(&counters)),
             counters,
-            catalogue: Arc::default(),
-            membership: Arc::new(Membership::new(identity)),
+            lending: Lending::new(Arc::clone(&catalogue), Arc::clone(&membership), clock),
+            catalogue,
+            membership,
             usage: Arc::default(),
             pending: Arc::default(),
             pauses: PauseGuard::new(clock),
@@ -105,6 +109,7 @@
             membership: Arc::clone(&self.membership),
             catalogue: Arc::clone(&self.catalogue),
             usage: Arc::clone(&self.usage),
+            lending: Arc::clone(&self.lending),
             peers: Arc::clone(&self.peers),
             counters: Arc::clone(&self.counters),
             rate: ControlRate::default(),
@@ -140,8 +145,7 @@
             self.clock,
         ));
         let admission = Arc::new(Admission::new(
-            Arc::clone(&self.catalogue),
-            Arc::clone(&self.membership),
+            Arc::clone(&self.lending),
             Arc::clone(&targets),
             self.clock,
         ));
