--- a/crates/standins/src/bin/tanager-bench/faults.rs
+++ b/crates/standins/src/bin/tanager-bench/faults.rs
@@ -8,20 +8,18 @@
 use tanager_standins::fabric::Faults;
 use tanager_standins::fleet::{ZONES, service};
 use tanager_standins::load::{Mix, Tally, drive};
-use tanager_standins::platform::Fault;
 use tanager_standins::settings::Service;
 use tanager_standins::target::Options;
 use tanager_standins::verdict::Truth;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::Plan;
+use crate::chaos::{Chaos, Fault};
 use crate::fleet::Fleet;
 use crate::report::Report;
 
 /// Longest delay of a late datagram.
-const LATE: Duration = Duration::from_secs(5);
-/// A drained target is removed when its feeds have moved, but not before this time.
-const DRAIN_TIME: Duration = Duration::from_secs(6);
+pub const LATE: Duration = Duration::from_secs(5);
 
 /// Returns the services of both owners with their numbers of targets.
 pub fn services() -> Vec<(Service, usize)> {
@@ -59,11 +57,11 @@
     options
 }
 
-async fn fleet(plan: &Plan) -> io::Result<Fleet> {
+pub async fn start(plan: &Plan) -> io::Result<Fleet> {
     Fleet::start(8, services(), slow, plan.seed).await
 }
 
-fn load(
+pub fn load(
     fleet: &Fleet,
     plan: &Plan,
     mixes: Vec<Mix>,
@@ -72,12 +70,12 @@
     tokio::spawn(async move { drive(address, &mixes, time).await })
 }
 
-fn after(plan: &Plan, share: f64) -> Duration {
+pub fn after(plan: &Plan, share: f64) -> Duration {
     Duration::from_secs(plan.seconds).mul_f64(share)
 }
 
 /// Collects the truth and the breaches that every experiment checks.
-async fn judge(fleet: &mut Fleet, tallies: Vec<Tally>, report: &mut Report) -> Truth {
+pub async fn judge(fleet: &mut Fleet, tallies: Vec<Tally>, report: &mut Report) -> Truth {
     for name in fleet.crashed() {
         report.breaches.push(format!("{name} ended by itself"));
     }
@@ -103,16 +101,15 @@
 }
 
 pub async fn planned_changes(plan: &Plan) -> io::Result<Report> {
-    let mut fleet = fleet(plan).await?;
+    let mut fleet = start(plan).await?;
     let mut rng = StdRng::seed_from_u64(plan.seed);
     let load = load(&fleet, plan, mixes(100, 0.5));
-    let start = Instant::now();
-    let mut leaving: Vec<(u32, Instant)> = Vec::new();
+    let begin = Instant::now();
     for step in 0..8u32 {
-        sleep_until(start + after(plan, 0.1) * (step + 1)).await;
-        change(&mut fleet, &mut rng, &mut leaving).await?;
+        sleep_until(begin + after(plan, 0.1) * (step + 1)).await;
+        change(&mut fleet, &mut rng).await?;
     }
-    if start.elapsed() > after(plan, 1.0) {
+    if begin.elapsed() > after(plan, 1.0) {
         return Err(io::Error::other("the changes took longer than the load"));
     }
     let tallies = load.await??;
@@ -143,37 +140,28 @@
 }
 
 /// Drains a target, replaces a balancer and removes drained targets whose feeds have moved.
-async fn change(
-    fleet: &mut Fleet,
-    rng: &mut StdRng,
-    leaving: &mut Vec<(u32, Instant)>,
-) -> io::Result<()> {
+async fn change(fleet: &mut Fleet, rng: &mut StdRng) -> io::Result<()> {
     // The cut zone learns of the changes from its peers only. The new balancer's own zone is
     // not cut, so that the schedule fits into the load.
     let own = fleet.balancers[0].instance.zone.clone();
     let others: Vec<&str> = ZONES.into_iter().filter(|z| *z != own).collect();
     let zone = others[rng.random_range(0..others.len())];
     fleet.platform.cut_zones([zone.to_owned()]);
-    let index = rng.random_range(0..fleet.targets.len() - leaving.len());
-    leaving.push((fleet.drain_target(index).await?, Instant::now()));
+    let index = rng.random_range(0..fleet.targets.len() - fleet.leaving.len());
+    fleet.drain_target(index).await?;
     fleet.replace_balancer(0).await?;
     fleet.platform.cut_zones([]);
-    leaving.retain(|(number, since)| {
-        let done = since.elapsed() > DRAIN_TIME && fleet.is_idle(*number);
-        if done {
-            fleet.remove_target(*number);
-        }
-        !done
-    });
+    fleet.remove_drained();
     // Leaving targets stand last, so the next choice falls on an active one.
+    let leaving: Vec<u32> = fleet.leaving.iter().map(|(number, _)| *number).collect();
     fleet
         .targets
-        .sort_by_key(|(_, number, _)| leaving.iter().any(|(n, _)| n == number));
+        .sort_by_key(|(_, target)| leaving.contains(&target.number()));
     Ok(())
 }
 
 pub async fn balancer_kill(plan: &Plan) -> io::Result<Report> {
-    let mut fleet = fleet(plan).await?;
+    let mut fleet = start(plan).await?;
     let mut rng = StdRng::seed_from_u64(plan.seed);
     let load = load(&fleet, plan, mixes(200, 0.5));
     for _ in 0..2 {
@@ -209,23 +197,28 @@
     }
 }
 
+/// Waits for late copies of datagrams.
+pub async fn settle_late() {
+    sleep(LATE + Duration::from_secs(1)).await;
+}
+
 pub async fn execution(plan: &Plan) -> io::Result<Report> {
-    let mut fleet = fleet(plan).await?;
-    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let mut fleet = start(plan).await?;
+    let mut chaos = Chaos::new(plan.seed);
     fleet.fabric.set_faults(bad_network());
     let load = load(&fleet, plan, mixes(0, 0.5));
     let end = Instant::now() + after(plan, 0.9);
     while Instant::now() < end {
-        match rng.random_range(0..4) {
-            0 => Chaos::KillBalancer.run(&mut fleet, &mut rng).await?,
-            1 => Chaos::KillTarget.run(&mut fleet, &mut rng).await?,
-            _ => Chaos::Pause.run(&mut fleet, &mut rng).await?,
-        }
-        sleep(Duration::from_millis(rng.random_range(200..1_500))).await;
+        let fault = match chaos.rng.random_range(0..4) {
+            0 => Fault::KillBalancer,
+            1 => Fault::KillTarget,
+            _ => Fault::FreezeBalancer,
+        };
+        chaos.run(&mut fleet, &[fault]).await?;
+        sleep(Duration::from_millis(chaos.rng.random_range(200..1_500))).await;
     }
     let tallies = load.await??;
-    // Late copies may still arrive.
-    sleep(LATE + Duration::from_secs(1)).await;
+    settle_late().await;
     let mut report = Report::default();
     let truth = judge(&mut fleet, tallies, &mut report).await;
     report.figures = vec![
@@ -237,141 +230,3 @@
     ];
     Ok(report)
 }
-
-/// A fault that heals itself.
-#[derive(Clone, Copy)]
-enum Chaos {
-    KillBalancer,
-    KillTarget,
-    Pause,
-    ReplaceBalancer,
-    DrainTarget,
-    BadNetwork,
-    PlatformDown,
-    PlatformStale,
-    CutZone,
-    ForgetCallers,
-    ForgetFeeds,
-    HalfFabric,
-}
-
-impl Chaos {
-    const ALL: [Self; 12] = [
-        Self::KillBalancer,
-        Self::KillTarget,
-        Self::Pause,
-        Self::ReplaceBalancer,
-        Self::DrainTarget,
-        Self::BadNetwork,
-        Self::PlatformDown,
-        Self::PlatformStale,
-        Self::CutZone,
-        Self::ForgetCallers,
-        Self::ForgetFeeds,
-        Self::HalfFabric,
-    ];
-
-    async fn run(self, fleet: &mut Fleet, rng: &mut StdRng) -> io::Result<()> {
-        let balancer = rng.random_range(0..fleet.balancers.len());
-        let target = rng.random_range(0..fleet.targets.len());
-        let time = Duration::from_millis(rng.random_range(500..4_000));
-        match self {
-            Self::KillBalancer => {
-                let zone = fleet.balancers[balancer].instance.zone.clone();
-                fleet.kill_balancer(balancer).await;
-                fleet.add_balancer(&zone).await?;
-            }
-            Self::KillTarget => {
-                let (service, number, _) = fleet.targets[target];
-                fleet.remove_target(number);
-                fleet
-                    .add_target(service, ZONES[rng.random_range(0..3)])
-                    .await?;
-                fleet.publish_catalogue();
-            }
-            Self::Pause => {
-                fleet.balancers[balancer].signal("STOP");
-                sleep(time).await;
-                fleet.balancers[balancer].signal("CONT");
-            }
-            Self::ReplaceBalancer => fleet.replace_balancer(balancer).await?,
-            Self::DrainTarget => {
-                let number = fleet.drain_target(target).await?;
-                sleep(DRAIN_TIME).await;
-                fleet.remove_target(number);
-            }
-            Self::ForgetCallers => fleet.fabric.forget_callers(),
-            Self::ForgetFeeds => fleet.targets[target].2.forget_feeds(),
-            lasting => {
-                lasting.set(fleet, rng);
-                sleep(time).await;
-                lasting.heal(fleet);
-            }
-        }
-        Ok(())
-    }
-
-    /// Starts a fault that lasts until it is healed; the others do nothing.
-    fn set(self, fleet: &Fleet, rng: &mut StdRng) {
-        match self {
-            Self::BadNetwork => fleet.fabric.set_faults(bad_network()),
-            Self::PlatformDown => fleet.platform.set_fault(Fault::Down),
-            Self::PlatformStale => fleet.platform.set_fault(Fault::Stale),
-            Self::CutZone => {
-                let zone = ZONES[rng.random_range(0..ZONES.len())];
-                fleet.platform.cut_zones([zone.to_owned()]);
-            }
-            Self::HalfFabric => {
-                let half = fleet.balancers.len().div_ceil(2);
-                let half = fleet.balancers.iter().take(half);
-                fleet
-                    .fabric
-                    .set_balancers(half.map(|b| b.instance.callers).collect());
-            }
-            _ => {}
-        }
-    }
-
-    fn heal(self, fleet: &Fleet) {
-        match self {
-            Self::BadNetwork => fleet.fabric.set_faults(Faults::default()),
-            Self::PlatformDown | Self::PlatformStale => fleet.platform.set_fault(Fault::None),
-            Self::CutZone => fleet.platform.cut_zones([]),
-            Self::HalfFabric => fleet.spray(),
-            _ => {}
-        }
-    }
-}
-
-pub async fn chaos(plan: &Plan) -> io::Result<Report> {
-    let mut fleet = fleet(plan).await?;
-    let mut rng = StdRng::seed_from_u64(plan.seed);
-    let load = load(&fleet, plan, mixes(50, 0.3));
-    let end = Instant::now() + after(plan, 0.9);
-    let mut faults = 0;
-    while Instant::now() < end {
-        let first = Chaos::ALL[rng.random_range(0..Chaos::ALL.len())];
-        // The second fault lasts while the first one runs its course.
-        let second = rng
-            .random_bool(0.5)
-            .then(|| Chaos::ALL[rng.random_range(5..Chaos::ALL.len())]);
-        if let Some(second) = second {
-            second.set(&fleet, &mut rng);
-            faults += 1;
-        }
-        faults += 1;
-        first.run(&mut fleet, &mut rng).await?;
-        if let Some(second) = second {
-            second.heal(&fleet);
-        }
-        fleet.count_violations().await;
-        sleep(Duration::from_millis(rng.random_range(200..1_000))).await;
-    }
-    let tallies = load.await??;
-    sleep(LATE + Duration::from_secs(1)).await;
-    fleet.settle().await?;
-    let mut report = Report::default();
-    judge(&mut fleet, tallies, &mut report).await;
-    report.figures = vec![("faults", figure(faults))];
-    Ok(report)
-}
--- a/crates/standins/src/bin/tanager-bench/fleet.rs
+++ b/crates/standins/src/bin/tanager-bench/fleet.rs
@@ -3,16 +3,15 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use serde_json::Value;
-use tanager_standins::fabric::Fabric;
-use tanager_standins::fleet::{ZONES, any_port};
+use tanager_standins::fleet::{Backend, ZONES, any_port};
 use tanager_standins::load::Tally;
-use tanager_standins::platform::Platform;
-use tanager_standins::settings::{Instance, Service, TargetEntry, catalogue, instance_list};
+use tanager_standins::settings::{Instance, Service, TargetEntry, instance_list};
 use tanager_standins::target::{Options, Record, Target};
 use tanager_standins::verdict::Truth;
 use tokio::time::{Instant, sleep};
@@ -22,6 +21,9 @@
 /// Longest wait for a balancer to connect to its targets.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// A drained target is removed when its feeds have moved, but not before this time.
+const DRAIN_TIME: Duration = Duration::from_secs(6);
+
 /// A balancer process. Dropping it kills the process.
 pub struct Balancer {
     pub instance: Instance,
@@ -65,25 +67,35 @@
 
 /// The fleet of one experiment.
 pub struct Fleet {
-    pub platform: Platform,
-    pub fabric: Fabric,
+    backend: Backend,
     pub balancers: Vec<Balancer>,
     /// Balancers that are stopping gracefully.
     stopping: Vec<Balancer>,
-    /// Requests a second that each owner may make, if not the default.
-    pub owner_requests: Option<u32>,
-    pub targets: Vec<(usize, u32, Target)>,
-    pub services: Vec<Service>,
     adapt: fn(Options) -> Options,
+    /// Drained targets, with the time of the drain.
+    pub leaving: Vec<(u32, Instant)>,
     killed: Vec<(u32, Record)>,
     violations: u64,
     dir: PathBuf,
     next_balancer: usize,
-    next_target: u32,
-    revisions: (u64, u64),
+    instances_revision: u64,
     http: reqwest::Client,
 }
 
+impl Deref for Fleet {
+    type Target = Backend;
+
+    fn deref(&self) -> &Backend {
+        &self.backend
+    }
+}
+
+impl DerefMut for Fleet {
+    fn deref_mut(&mut self) -> &mut Backend {
+        &mut self.backend
+    }
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.balancers.clear();
@@ -99,48 +111,31 @@
         adapt: fn(Options) -> Options,
         seed: u64,
     ) -> io::Result<Self> {
-        let mut fleet = Self::empty(adapt, seed).await?;
-        for (index, (service, count)) in services.into_iter().enumerate() {
-            fleet.services.push(service);
-            for i in 0..count {
-                fleet.add_target(index, ZONES[i % ZONES.len()]).await?;
-            }
-        }
-        fleet.publish_catalogue();
-        for i in 0..balancers {
-            fleet.spawn_balancer(ZONES[i % ZONES.len()])?;
-        }
-        fleet.publish_instances();
-        for i in 0..balancers {
-            fleet.wait_connected(i).await?;
-        }
-        fleet.spray();
-        Ok(fleet)
-    }
-
-    async fn empty(adapt: fn(Options) -> Options, seed: u64) -> io::Result<Self> {
         let dir = std::env::temp_dir().join(format!("tanager-bench-{}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
-        Ok(Self {
-            platform: Platform::start(any_port()).await?,
-            fabric: Fabric::start(any_port(), Vec::new(), seed).await?,
+        let http = reqwest::Client::builder().timeout(Duration::from_secs(1));
+        let mut fleet = Self {
+            backend: Backend::start(services, seed, adapt).await?,
             balancers: Vec::new(),
             stopping: Vec::new(),
-            owner_requests: None,
-            targets: Vec::new(),
-            services: Vec::new(),
             adapt,
+            leaving: Vec::new(),
             killed: Vec::new(),
             violations: 0,
             dir,
             next_balancer: 0,
-            next_target: 1,
-            revisions: (0, 0),
-            http: reqwest::Client::builder()
-                .timeout(Duration::from_secs(1))
-                .build()
-                .map_err(io::Error::other)?,
-        })
+            instances_revision: 0,
+            http: http.build().map_err(io::Error::other)?,
+        };
+        for i in 0..balancers {
+            fleet.spawn_balancer(ZONES[i % ZONES.len()])?;
+        }
+        fleet.publish_instances();
+        for i in 0..balancers {
+            fleet.wait_connected(i).await?;
+        }
+        fleet.spray();
+        Ok(fleet)
     }
 
     fn spawn_balancer(&mut self, zone: &str) -> io::Result<()> {
@@ -192,15 +187,27 @@
     pub async fn replace_balancer(&mut self, index: usize) -> io::Result<()> {
         let zone = self.balancers[index].instance.zone.clone();
         self.add_balancer(&zone).await?;
+        self.stop_balancer(index).await;
+        Ok(())
+    }
+
+    /// Stops the balancer at `index` gracefully. The fabric learns of it after the instance left.
+    pub async fn stop_balancer(&mut self, index: usize) {
         self.balancers[index].instance.state = "leaving";
         self.publish_instances();
         self.balancers[index].signal("TERM");
-        // The fabric learns of the change after the instance has left.
         sleep(Duration::from_millis(500)).await;
         self.count_violations().await;
         self.stopping.push(self.balancers.remove(index));
         self.spray();
-        Ok(())
+    }
+
+    /// Sends a signal to the balancer of this process id, if it has not been killed.
+    pub fn signal(&self, pid: u32, name: &str) {
+        let mut all = self.balancers.iter().chain(&self.stopping);
+        if let Some(balancer) = all.find(|b| b.pid() == pid) {
+            balancer.signal(name);
+        }
     }
 
     /// Waits until every balancer that was told to stop has ended.
@@ -221,72 +228,120 @@
         self.publish_instances();
     }
 
-    /// Starts a target; the catalogue is not published.
-    pub async fn add_target(&mut self, service: usize, zone: &str) -> io::Result<()> {
-        let number = self.next_target;
-        self.next_target += 1;
-        let options = Options::new(any_port(), self.services[service].number, number);
-        let target = Target::start((self.adapt)(options)).await?;
-        self.services[service].targets.push(TargetEntry {
-            number,
-            address: target.address(),
-            zone: zone.to_owned(),
-            incarnation: 1,
-            state: "active",
-        });
-        self.targets.push((service, number, target));
+    /// Starts a target like the first ones, changed by `change`; the catalogue is not published.
+    pub async fn start_target(
+        &mut self,
+        service: usize,
+        zone: &str,
+        change: fn(Options) -> Options,
+    ) -> io::Result<()> {
+        let adapt = self.adapt;
+        let adapt = |options| change(adapt(options));
+        self.backend.add_target(service, zone, adapt).await
+    }
+
+    /// Starts a target like the first ones and publishes the catalogue.
+    pub async fn replace_target(&mut self, service: usize, zone: &str) -> io::Result<()> {
+        self.start_target(service, zone, |options| options).await?;
+        self.publish_services();
         Ok(())
     }
 
     /// Drains the target at `index`, starts a replacement in its zone and publishes both.
-    pub async fn drain_target(&mut self, index: usize) -> io::Result<u32> {
-        let (service, number, target) = &self.targets[index];
-        let (service, number) = (*service, *number);
-        target.drain();
-        let entries = &mut self.services[service].targets;
-        let entry = entries.iter_mut().find(|t| t.number == number);
-        let entry = entry.ok_or_else(|| io::Error::other("no such target"))?;
-        entry.state = "leaving";
-        let zone = entry.zone.clone();
-        self.add_target(service, &zone).await?;
-        self.publish_catalogue();
-        Ok(number)
+    pub async fn drain_target(&mut self, index: usize) -> io::Result<()> {
+        let (service, number) = (self.targets[index].0, self.targets[index].1.number());
+        self.leave_target(number);
+        let zone = self.entry(number).map(|t| t.zone.clone());
+        self.replace_target(service, &zone.unwrap_or_default())
+            .await
     }
 
-    /// Kills the target of this number and removes it from the catalogue.
-    pub fn remove_target(&mut self, number: u32) {
-        if let Some(index) = self.targets.iter().position(|t| t.1 == number) {
-            let (service, _, target) = self.targets.remove(index);
-            self.killed
-                .push((self.services[service].number, target.kill()));
-            self.services[service]
-                .targets
-                .retain(|t| t.number != number);
-            self.publish_catalogue();
+    /// Drains a target without a replacement; the catalogue is not published.
+    pub fn leave_target(&mut self, number: u32) {
+        if let Some(target) = self.target(number) {
+            target.drain();
+            self.leaving.push((number, Instant::now()));
+        }
+        if let Some(entry) = self.entry(number) {
+            entry.state = "leaving";
+        }
+    }
+
+    /// Removes the drained targets whose feeds have moved.
+    pub fn remove_drained(&mut self) {
+        let leaving = std::mem::take(&mut self.leaving);
+        for (number, since) in leaving {
+            let idle = self.target(number).is_none_or(|t| t.open_feeds() == 0);
+            if idle && since.elapsed() > DRAIN_TIME {
+                self.remove_target(number);
+            } else {
+                self.leaving.push((number, since));
+            }
+        }
+    }
+
+    /// Returns the catalogue entry of a target.
+    pub fn entry(&mut self, number: u32) -> Option<&mut TargetEntry> {
+        let entries = self.services.iter_mut().flat_map(|s| &mut s.targets);
+        entries.into_iter().find(|t| t.number == number)
+    }
+
+    /// Returns the target of this number.
+    pub fn target(&self, number: u32) -> Option<&Target> {
+        let mut targets = self.targets.iter().map(|(_, t)| t);
+        targets.find(|t| t.number() == number)
+    }
+
+    /// Kills the target of this number. The catalogue keeps it.
+    pub fn kill_target(&mut self, number: u32) {
+        if let Some(index) = self.targets.iter().position(|(_, t)| t.number() == number) {
+            let (service, target) = self.targets.remove(index);
+            let service = self.services[service].number;
+            self.killed.push((service, target.kill()));
         }
     }
 
-    pub fn is_idle(&self, number: u32) -> bool {
-        let target = self.targets.iter().find(|t| t.1 == number);
-        target.is_some_and(|t| t.2.open_feeds() == 0)
+    /// Starts another incarnation at the address of a killed target. The catalogue keeps the old.
+    pub async fn reuse_address(&mut self, number: u32) -> io::Result<()> {
+        let Some(entry) = self.entry(number).cloned() else {
+            return Ok(());
+        };
+        let index = self
+            .services
+            .iter()
+            .position(|s| s.targets.iter().any(|t| t.number == number));
+        let index = index.unwrap_or(0);
+        let options = (self.adapt)(Options {
+            incarnation: entry.incarnation + 1,
+            ..Options::new(entry.address, self.services[index].number, number)
+        });
+        // The killed target's socket closes with its task, a moment after the kill.
+        for _ in 0..50 {
+            if let Ok(target) = Target::start(options.clone()).await {
+                self.targets.push((index, target));
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Err(io::Error::other("the address stays in use"))
     }
 
-    pub fn publish_catalogue(&mut self) {
-        self.revisions.0 += 1;
-        let mut text = catalogue(self.revisions.0, &self.services);
-        if let Some(rate) = self.owner_requests {
-            text = text.replace("requests: 100000/s", &format!("requests: {rate}/s"));
+    /// Kills the target of this number and removes it from the catalogue.
+    pub fn remove_target(&mut self, number: u32) {
+        self.kill_target(number);
+        for service in &mut self.services {
+            service.targets.retain(|t| t.number != number);
         }
-        self.platform.publish_catalogue(&text);
+        self.publish_services();
     }
 
     pub fn publish_instances(&mut self) {
-        self.revisions.1 += 1;
+        self.instances_revision += 1;
         self.stopping.retain_mut(|b| !b.is_ended());
         let listed = self.balancers.iter().chain(&self.stopping);
         let instances: Vec<Instance> = listed.map(|b| b.instance.clone()).collect();
         self.platform
-            .publish_instances(&instance_list(self.revisions.1, &instances));
+            .publish_instances(&instance_list(self.instances_revision, &instances));
     }
 
     /// Makes the fabric use all balancers.
@@ -341,7 +396,7 @@
     pub async fn truth(&mut self, tallies: Vec<Tally>) -> Truth {
         self.count_violations().await;
         let running = self.targets.iter();
-        let running = running.map(|(s, _, t)| (self.services[*s].number, t.record()));
+        let running = running.map(|(s, t)| (self.services[*s].number, t.record()));
         Truth {
             tallies,
             records: running.chain(self.killed.iter().cloned()).collect(),
--- a/crates/standins/src/bin/tanager-bench/forwarding.rs
+++ b/crates/standins/src/bin/tanager-bench/forwarding.rs
@@ -71,6 +71,7 @@
         ],
         baselines: vec![("relay_per_s", bare), ("balancer_per_s", forwarded)],
         breaches: fleet.truth(Vec::new()).await.breaches(),
+        ..Report::default()
     })
 }
 
--- a/crates/standins/src/bin/tanager-bench/main.rs
+++ b/crates/standins/src/bin/tanager-bench/main.rs
@@ -1,5 +1,6 @@
 //! Runs experiments against real balancer processes and reports figures and broken promises.
 
+mod chaos;
 mod faults;
 mod fleet;
 mod forwarding;
@@ -104,7 +105,7 @@
         "planned-changes" => faults::planned_changes(plan).await,
         "balancer-kill" => faults::balancer_kill(plan).await,
         "execution" => faults::execution(plan).await,
-        "chaos" => faults::chaos(plan).await,
+        "chaos" => chaos::chaos(plan).await,
         "flood" => quiet::flood(plan).await,
         "imbalance" => quiet::imbalance(plan).await,
         "control" => quiet::control(plan).await,
--- a/crates/standins/src/bin/tanager-bench/quiet.rs
+++ b/crates/standins/src/bin/tanager-bench/quiet.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::Plan;
-use crate::faults::{figure, mixes, services, slow};
+use crate::faults::{figure, mixes, services, slow, start};
 use crate::fleet::Fleet;
 use crate::report::Report;
 
@@ -19,60 +19,64 @@
 const SETTLE: Duration = Duration::from_secs(5);
 /// Rate of a flood over the capacity of the flooded work.
 const FLOOD_FACTOR: f64 = 10.0;
+/// Requests a second far above any flood.
+const UNLIMITED: u32 = 1_000_000;
 /// Two slots and 40 ms for each request.
 const REQUESTS_PER_TARGET: u32 = 50;
 /// Clock ticks a second in `/proc/PID/stat`; fixed in the Linux interface for user programs.
 const TICKS_PER_S: f64 = 100.0;
 
+/// Measures a third of the time without a flood, a third with it, and a third with it while the
+/// published limits do not bind, which is the baseline.
 pub async fn flood(plan: &Plan) -> io::Result<Report> {
-    let mut fleet = Fleet::start(8, services(), slow, plan.seed).await?;
+    let mut fleet = start(plan).await?;
     limit_to_capacity(&mut fleet);
     sleep(SETTLE).await;
-    let half = Duration::from_secs(plan.seconds) / 2;
+    let time = Duration::from_secs(plan.seconds) / 3;
     let address = fleet.fabric.address();
     let mut mixes = mixes(50, 1.0);
-    let before = drive(address, &mixes, half).await?;
-    let flood = flood_mix(plan.most_urgent);
+    let before = drive(address, &mixes, time).await?;
+    let flood = if plan.most_urgent {
+        flood_mix(1, 14, false)
+    } else {
+        flood_mix(2, 4, true)
+    };
     let capacity = (flood.once + flood.repeatable) / FLOOD_FACTOR;
     let flooded = flood.service;
     mixes.push(flood);
-    let during = drive(address, &mixes, half).await?;
+    let during = drive(address, &mixes, time).await?;
+    lift_limits(&mut fleet);
+    sleep(SETTLE).await;
+    let unlimited = drive(address, &mixes, time).await?;
     let (goodput, p99) = kept(&before, &during, flooded);
-    let served = during
-        .last()
-        .map_or(0, |t| t.once.answered + t.repeatable.answered);
-    let skipped = during
-        .last()
-        .map_or(0, |t| t.once.skipped + t.repeatable.skipped);
+    let (baseline_goodput, baseline_p99) = kept(&before, &unlimited, flooded);
+    let last = during.last();
+    let served = last.map_or(0, |t| t.once.answered + t.repeatable.answered);
+    let skipped = last.map_or(0, |t| t.once.skipped + t.repeatable.skipped);
     if skipped > 0 {
         eprintln!("{skipped} requests of the flood were not sent: too many were waiting");
     }
-    let truth = fleet
-        .truth(before.into_iter().chain(during).collect())
-        .await;
+    let tallies = [before, during, unlimited].concat();
+    let served = figure(served) / (capacity * time.as_secs_f64());
     Ok(Report {
         figures: vec![
             ("kept_goodput_ratio_min", goodput),
             ("kept_p99_ratio_max", p99),
-            (
-                "flood_served_ratio",
-                figure(served) / (capacity * half.as_secs_f64()),
-            ),
+            ("flood_served_ratio", served),
         ],
-        baselines: Vec::new(),
-        breaches: truth.breaches(),
+        baselines: vec![
+            ("kept_goodput_ratio_min", baseline_goodput),
+            ("kept_p99_ratio_max", baseline_p99),
+        ],
+        breaches: fleet.truth(tallies).await.breaches(),
+        ..Report::default()
     })
 }
 
-/// Returns a flood of the least urgent work (print) or the most urgent work (the buzz request).
-fn flood_mix(most_urgent: bool) -> Mix {
-    let (service, targets) = if most_urgent { (1, 14) } else { (2, 4) };
+/// Returns a flood of 10 times the capacity of a service with this number of targets.
+pub fn flood_mix(service: u32, targets: u32, repeatable: bool) -> Mix {
     let rate = f64::from(targets * REQUESTS_PER_TARGET) * FLOOD_FACTOR;
-    let (once, repeatable) = if most_urgent {
-        (rate, 0.0)
-    } else {
-        (0.0, rate)
-    };
+    let (once, repeatable) = if repeatable { (0.0, rate) } else { (rate, 0.0) };
     Mix {
         name: "flood".to_owned(),
         service,
@@ -83,16 +87,25 @@
     }
 }
 
+/// Publishes limits that do not bind, and guarantees nothing.
+fn lift_limits(fleet: &mut Fleet) {
+    for service in &mut fleet.services {
+        (service.requests, service.minimum) = (UNLIMITED, 1);
+    }
+    fleet.owner_requests = UNLIMITED;
+    fleet.publish_services();
+}
+
 /// Limits services and owners to what their targets can serve, so that the flood meets limits
 /// that others share. Each service is guaranteed 40%, which is above its ordinary load.
-fn limit_to_capacity(fleet: &mut Fleet) {
+pub fn limit_to_capacity(fleet: &mut Fleet) {
     for service in &mut fleet.services {
         let targets = u32::try_from(service.targets.len()).unwrap_or(u32::MAX);
         service.requests = targets * REQUESTS_PER_TARGET;
         service.minimum = service.requests * 2 / 5;
     }
-    fleet.owner_requests = Some(18 * REQUESTS_PER_TARGET);
-    fleet.publish_catalogue();
+    fleet.owner_requests = 18 * REQUESTS_PER_TARGET;
+    fleet.publish_services();
 }
 
 /// Returns the least goodput and the greatest p99 of all kinds of work but the flooded one, each
@@ -121,7 +134,7 @@
 }
 
 pub async fn imbalance(plan: &Plan) -> io::Result<Report> {
-    let mut fleet = Fleet::start(8, services(), slow, plan.seed).await?;
+    let mut fleet = start(plan).await?;
     let mixes = mixes(1_400, 1.0);
     let tallies = drive(
         fleet.fabric.address(),
@@ -156,6 +169,7 @@
             ("slot_hash_mod", hashed[1]),
         ],
         breaches: truth.breaches(),
+        ..Report::default()
     })
 }
 
@@ -217,13 +231,13 @@
 pub async fn control(plan: &Plan) -> io::Result<Report> {
     let mut fleet = Fleet::start(plan.instances, services(), slow, plan.seed).await?;
     sleep(SETTLE).await;
-    let start = sample(&fleet).await;
+    let begin = sample(&fleet).await;
     let time = Duration::from_secs(plan.seconds);
     sleep(time).await;
     let end = sample(&fleet).await;
     // Before anything is counted the figure is unknown rather than 0.
     let bytes = if end["bytes"] > 0.0 {
-        end["bytes"] - start["bytes"]
+        end["bytes"] - begin["bytes"]
     } else {
         f64::NAN
     };
@@ -234,7 +248,7 @@
             ("control_bytes_per_s", bytes / share),
             (
                 "control_core_percent",
-                (end["cpu_s"] - start["cpu_s"]) / share * 100.0,
+                (end["cpu_s"] - begin["cpu_s"]) / share * 100.0,
             ),
             (
                 "memory_mb",
@@ -242,11 +256,11 @@
             ),
             (
                 "platform_calls_per_s",
-                (end["calls"] - start["calls"]) / share,
+                (end["calls"] - begin["calls"]) / share,
             ),
         ],
-        baselines: Vec::new(),
         breaches,
+        ..Report::default()
     })
 }
 
--- a/crates/standins/src/bin/tanager-bench/report.rs
+++ b/crates/standins/src/bin/tanager-bench/report.rs
@@ -10,6 +10,8 @@
 pub struct Report {
     pub figures: Vec<(&'static str, f64)>,
     pub baselines: Vec<(&'static str, f64)>,
+    /// How often each fault ran, if faults were random.
+    pub faults: Vec<(&'static str, f64)>,
     pub breaches: Vec<String>,
 }
 
@@ -58,12 +60,16 @@
         for (name, value) in &self.baselines {
             println!("  baseline {name:<19} {value:>14.3}");
         }
+        for (name, value) in &self.faults {
+            println!("  fault {name:<22} {value:>14.0}");
+        }
         for breach in &self.breaches {
             println!("  BREACH: {breach}");
         }
         let document = json!({ "experiment": plan.experiment, "seed": plan.seed,
             "seconds": plan.seconds, "figures": object(&self.figures),
-            "breaches": self.breaches, "baselines": object(&self.baselines) });
+            "breaches": self.breaches, "baselines": object(&self.baselines),
+            "faults": object(&self.faults) });
         if let Some(path) = &plan.json {
             std::fs::write(path, format!("{document:#}\n")).map_err(Failure::failed)?;
         }
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -1,5 +1,7 @@
 //! Callers: feeds that stay open, repeatable and non-repeatable requests, and what became of them.
 
+mod feed;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -8,8 +10,8 @@
 use bytes::Bytes;
 use tanager_core::{FastMap, FlowId, Millis, RequestId, ResultCode, RunState, ServiceId};
 use tanager_wire::{
-    Assembly, Binding, Cancel, Close, Datagram, DatagramBody, Deadline, FlowKind, FragmentMap,
-    Keepalive, Open, Request, Update,
+    Assembly, Binding, Cancel, Datagram, DatagramBody, Deadline, FlowKind, FragmentMap, Open,
+    Request,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -22,10 +24,6 @@
 /// Longest time between repeated requests; the time doubles from [`REPEAT_INTERVAL`], so that
 /// callers of an overloaded service do not multiply the load.
 const REPEAT_LIMIT: Duration = Duration::from_millis(1_600);
-/// Time between keepalives.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
-/// A feed that heard nothing for this long counts as broken.
-const SILENCE_LIMIT: Duration = Duration::from_secs(6);
 /// Longest wait for a flow to open.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after the deadline during which a caller still asks for its answer.
@@ -34,6 +32,8 @@
 /// Names the reason for giving up without a reply.
 const NO_REPLY: ResultCode = ResultCode::OutcomeLost;
 
+pub use feed::{Break, FeedReport};
+
 type Inboxes = Arc<Mutex<FastMap<[u8; 16], mpsc::UnboundedSender<DatagramBody>>>>;
 
 /// One caller with a socket of its own.
@@ -62,23 +62,6 @@
     binding: Binding,
 }
 
-/// What became of a feed.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct FeedReport {
-    /// Whether it opened at all.
-    pub opened: bool,
-    /// Times that it was reset or fell silent and had to be opened anew.
-    pub broken: u32,
-    /// Updates received in order.
-    pub updates: u64,
-    /// Longest time without an update in order.
-    pub longest_gap: Duration,
-    /// Moves to another target.
-    pub moves: u32,
-    /// Updates of another service or with another number.
-    pub wrong: u64,
-}
-
 impl Caller {
     /// Opens a caller's socket towards the fabric (or a balancer).
     ///
@@ -231,37 +214,6 @@
         Outcome::Refused(last.0, last.1)
     }
 
-    /// Holds a feed open until `end` and reports what happened.
-    pub async fn hold_feed(&self, end: Instant) -> FeedReport {
-        let mut report = FeedReport::default();
-        let (mut next, mut progressed) = (0, None);
-        while Instant::now() < end {
-            let inbox = self.inbox(*FlowId::random().as_bytes());
-            let (inbox, session) = match self.open(inbox, FlowKind::Feed, next).await {
-                Ok(opened) => opened,
-                Err(code) => {
-                    if code == ResultCode::FlowNotResumable {
-                        next = 0;
-                    }
-                    tokio::time::sleep(REPEAT_INTERVAL).await;
-                    continue;
-                }
-            };
-            report.opened = true;
-            let mut feed = OpenFeed::new(inbox, session, next, self.service);
-            feed.progressed = progressed.unwrap_or(feed.progressed);
-            let held = feed.hold(self, end, &mut report).await;
-            next = feed.next;
-            // The time without a feed is part of the gap.
-            progressed = Some(feed.progressed);
-            match held {
-                Held::Ended => break,
-                Held::Broken => report.broken += 1,
-            }
-        }
-        report
-    }
-
     async fn send(&self, body: DatagramBody) {
         if let Ok(bytes) = (Datagram {
             service: self.service,
@@ -353,127 +305,3 @@
         }
     }
 }
-
-enum Held {
-    Ended,
-    Broken,
-}
-
-struct OpenFeed {
-    inbox: Inbox,
-    token: Bytes,
-    binding: Binding,
-    service: ServiceId,
-    generation: u32,
-    /// Next sequence number expected in order; 0 until the first update.
-    next: u64,
-    /// Updates that arrived early.
-    early: std::collections::BTreeSet<u64>,
-    number: u64,
-    missed: u32,
-    heard: Instant,
-    progressed: Instant,
-}
-
-impl OpenFeed {
-    fn new(inbox: Inbox, session: Session, next: u64, service: ServiceId) -> Self {
-        let now = Instant::now();
-        Self {
-            inbox,
-            token: session.token,
-            binding: session.binding,
-            service,
-            generation: 0,
-            next,
-            early: std::collections::BTreeSet::new(),
-            number: 0,
-            missed: 0,
-            heard: now,
-            progressed: now,
-        }
-    }
-
-    async fn hold(&mut self, caller: &Caller, end: Instant, report: &mut FeedReport) -> Held {
-        let mut ticks = tokio::time::interval(KEEPALIVE_INTERVAL);
-        loop {
-            tokio::select! {
-                body = self.inbox.receiver.recv() => match body {
-                    Some(DatagramBody::Reset(reset)) => {
-                        // Other placements come from copies of an `Open` or from earlier moves.
-                        if reset.binding == Some(self.binding) {
-                            return Held::Broken;
-                        }
-                    }
-                    Some(body) => self.take(caller, body, report).await,
-                    None => return Held::Broken,
-                },
-                _ = ticks.tick() => {
-                    if Instant::now() >= end {
-                        self.close(caller, self.token.clone()).await;
-                        return Held::Ended;
-                    }
-                    if self.heard.elapsed() > SILENCE_LIMIT {
-                        return Held::Broken;
-                    }
-                    self.keepalive(caller).await;
-                }
-            }
-            report.longest_gap = report.longest_gap.max(self.progressed.elapsed());
-        }
-    }
-
-    async fn keepalive(&mut self, caller: &Caller) {
-        self.number += 1;
-        let keepalive = Keepalive {
-            flow: FlowId::new(self.inbox.id),
-            token: self.token.clone(),
-            number: self.number,
-            acked: self.next.saturating_sub(1),
-            missed: self.missed,
-        };
-        self.missed += 1;
-        caller.send(DatagramBody::Keepalive(keepalive)).await;
-    }
-
-    async fn close(&self, caller: &Caller, token: Bytes) {
-        let flow = FlowId::new(self.inbox.id);
-        caller
-            .send(DatagramBody::Close(Close { flow, token }))
-            .await;
-    }
-
-    async fn take(&mut self, caller: &Caller, body: DatagramBody, report: &mut FeedReport) {
-        self.heard = Instant::now();
-        match body {
-            DatagramBody::KeepaliveAck(_) => self.missed = 0,
-            DatagramBody::Opened(opened) if opened.generation.get() > self.generation => {
-                self.generation = opened.generation.get();
-                self.binding = opened.binding;
-                report.moves += 1;
-                let old = std::mem::replace(&mut self.token, opened.token);
-                self.close(caller, old).await;
-            }
-            DatagramBody::Update(update) => self.take_update(&update, report),
-            _ => {}
-        }
-    }
-
-    fn take_update(&mut self, update: &Update, report: &mut FeedReport) {
-        let sequence = update.sequence;
-        if update.payload != crate::feed::payload(self.service.get(), sequence) {
-            report.wrong += 1;
-        }
-        if self.next == 0 {
-            self.next = sequence;
-        }
-        if sequence >= self.next {
-            self.early.insert(sequence);
-        }
-        while self.early.remove(&self.next) {
-            self.next += 1;
-            report.updates += 1;
-            report.longest_gap = report.longest_gap.max(self.progressed.elapsed());
-            self.progressed = Instant::now();
-        }
-    }
-}
--- a/crates/standins/src/fabric.rs
+++ b/crates/standins/src/fabric.rs
@@ -9,6 +9,11 @@
 use rand::{RngExt as _, SeedableRng as _};
 use tanager_core::FastMap;
 use tokio::net::UdpSocket;
+use tokio::time::timeout;
+
+/// A caller that receives nothing for this long is forgotten. Open flows receive acknowledgements
+/// several times a second.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
 /// Faults of the fabric, for datagrams in both directions.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -78,6 +83,11 @@
         self.shared.lock().balancers = balancers;
     }
 
+    /// Changes some of the faults.
+    pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.shared.lock().faults);
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: Faults) {
         self.shared.lock().faults = faults;
@@ -95,6 +105,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the caller still uses this socket, and forgets it if it is idle. Otherwise
+    /// a long run would keep the sockets of all callers that ended.
+    fn keep(&self, caller: SocketAddr, socket: &Arc<UdpSocket>, idle: bool) -> bool {
+        let mut state = self.lock();
+        let mapped = state.callers.get(&caller);
+        let used = mapped.is_some_and(|s| Arc::ptr_eq(s, socket));
+        if used && idle {
+            state.callers.remove(&caller);
+        }
+        used && !idle
+    }
+
     fn balancer(&self) -> Option<SocketAddr> {
         let mut state = self.lock();
         let count = state.balancers.len();
@@ -175,17 +197,13 @@
 async fn receive_balancers(shared: Arc<Shared>, caller: SocketAddr, socket: Arc<UdpSocket>) {
     let mut buf = vec![0; 2_048];
     loop {
-        let Ok((size, _)) = socket.recv_from(&mut buf).await else {
-            continue;
-        };
-        let mapped = shared
-            .lock()
-            .callers
-            .get(&caller)
-            .is_some_and(|s| Arc::ptr_eq(s, &socket));
-        if !mapped {
+        let received = timeout(IDLE_LIMIT, socket.recv_from(&mut buf)).await;
+        if !shared.keep(caller, &socket, received.is_err()) {
             return;
         }
+        let Ok(Ok((size, _))) = received else {
+            continue;
+        };
         for delay in shared.copies() {
             if delay.is_zero() {
                 let _ = shared.front.send_to(&buf[..size], caller).await;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,9 @@
 
 use crate::fabric::Fabric;
 use crate::platform::Platform;
-use crate::settings::{Instance, Service, TargetEntry, catalogue, instance_list};
+use crate::settings::{
+    Instance, OWNER_REQUESTS, Service, TargetEntry, catalogue_with, instance_list,
+};
 use crate::target::{Options, Target};
 
 /// The availability zones of a test fleet.
@@ -87,20 +90,112 @@
     }
 }
 
-/// A running fleet. All parts end with it.
-pub struct Fleet {
+/// Platform, fabric and targets: everything around the entry instances of a fleet.
+pub struct Backend {
     /// The platform.
     pub platform: Platform,
     /// The fabric.
     pub fabric: Fabric,
-    /// The entry instances.
-    pub nodes: Vec<FleetNode>,
     /// The targets, with the index of their service.
     pub targets: Vec<(usize, Target)>,
     /// The services as published.
     pub services: Vec<Service>,
     /// Revision of the published catalogue.
     pub revision: u64,
+    /// Requests a second that each owner may make.
+    pub owner_requests: u32,
+    next_target: u32,
+}
+
+impl Backend {
+    /// Starts the targets of all services and publishes them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be used.
+    pub async fn start(
+        services: Vec<(Service, usize)>,
+        seed: u64,
+        adapt: impl Fn(Options) -> Options,
+    ) -> io::Result<Self> {
+        let mut backend = Self {
+            platform: Platform::start(any_port()).await?,
+            fabric: Fabric::start(any_port(), Vec::new(), seed).await?,
+            targets: Vec::new(),
+            services: Vec::new(),
+            revision: 0,
+            owner_requests: OWNER_REQUESTS,
+            next_target: 1,
+        };
+        for (index, (service, count)) in services.into_iter().enumerate() {
+            backend.services.push(service);
+            for i in 0..count {
+                let zone = ZONES[i % ZONES.len()];
+                backend.add_target(index, zone, &adapt).await?;
+            }
+        }
+        backend.publish_services();
+        Ok(backend)
+    }
+
+    /// Starts a target; the catalogue is not published.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no address is free.
+    pub async fn add_target(
+        &mut self,
+        service: usize,
+        zone: &str,
+        adapt: impl Fn(Options) -> Options,
+    ) -> io::Result<()> {
+        let number = self.next_target;
+        self.next_target += 1;
+        let options = adapt(Options::new(
+            any_port(),
+            self.services[service].number,
+            number,
+        ));
+        let incarnation = options.incarnation;
+        let target = Target::start(options).await?;
+        self.services[service].targets.push(TargetEntry {
+            number,
+            address: target.address(),
+            zone: zone.to_owned(),
+            incarnation,
+            state: "active",
+        });
+        self.targets.push((service, target));
+        Ok(())
+    }
+
+    /// Publishes the services as they are now under the next revision.
+    pub fn publish_services(&mut self) {
+        self.revision += 1;
+        let text = catalogue_with(self.revision, &self.services, self.owner_requests);
+        self.platform.publish_catalogue(&text);
+    }
+}
+
+/// A running fleet. All parts end with it.
+pub struct Fleet {
+    backend: Backend,
+    /// The entry instances.
+    pub nodes: Vec<FleetNode>,
+}
+
+impl Deref for Fleet {
+    type Target = Backend;
+
+    fn deref(&self) -> &Backend {
+        &self.backend
+    }
+}
+
+impl DerefMut for Fleet {
+    fn deref_mut(&mut self) -> &mut Backend {
+        &mut self.backend
+    }
 }
 
 /// What a fleet is made of.
@@ -149,37 +244,9 @@
         network: Arc<dyn Network>,
         adapt: impl Fn(Options) -> Options,
     ) -> io::Result<Self> {
-        let platform = Platform::start(any_port()).await?;
-        let mut services = Vec::new();
-        let mut targets = Vec::new();
-        let mut number = 0;
-        for (index, (mut service, count)) in plan.services.into_iter().enumerate() {
-            for i in 0..count {
-                number += 1;
-                let options = adapt(Options::new(any_port(), service.number, number));
-                let incarnation = options.incarnation;
-                let target = Target::start(options).await?;
-                service.targets.push(TargetEntry {
-                    number,
-                    address: target.address(),
-                    zone: ZONES[i % ZONES.len()].to_owned(),
-                    incarnation,
-                    state: "active",
-                });
-                targets.push((index, target));
-            }
-            services.push(service);
-        }
-        platform.publish_catalogue(&catalogue(1, &services));
-        let fabric = Fabric::start(any_port(), Vec::new(), plan.seed).await?;
-        let nodes = Vec::new();
         let mut fleet = Self {
-            platform,
-            fabric,
-            nodes,
-            targets,
-            services,
-            revision: 1,
+            backend: Backend::start(plan.services, plan.seed, adapt).await?,
+            nodes: Vec::new(),
         };
         for i in 0..plan.nodes {
             fleet
@@ -229,13 +296,6 @@
             .publish_instances(&instance_list(revision, &instances));
     }
 
-    /// Publishes the services as they are now under the next revision.
-    pub fn publish_services(&mut self) {
-        self.revision += 1;
-        self.platform
-            .publish_catalogue(&catalogue(self.revision, &self.services));
-    }
-
     /// Returns the entry instances that have not been killed.
     pub fn running(&self) -> impl Iterator<Item = &Arc<Node>> {
         self.nodes
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use crate::caller::{Caller, Outcome, Session};
+use crate::caller::{Break, Caller, Outcome, Session};
 use crate::target::{answer, request_body};
 
 /// Time that a request may take.
@@ -79,6 +79,9 @@
     pub feeds_opened: u64,
     /// Feeds that were reset, fell silent or never opened.
     pub feeds_broken: u64,
+    /// The breaks of feeds that had opened.
+    #[serde(skip)]
+    pub breaks: Vec<Break>,
     /// Feed updates received in order.
     pub updates: u64,
     /// Feed updates of another service.
@@ -166,6 +169,7 @@
         let report = report.map_err(std::io::Error::other)?;
         tally.feeds_opened += u64::from(report.opened);
         tally.feeds_broken += u64::from(report.broken) + u64::from(!report.opened);
+        tally.breaks.extend(report.breaks);
         tally.updates += report.updates;
         tally.wrong_updates += report.wrong;
         let gap = u64::try_from(report.longest_gap.as_millis()).unwrap_or(u64::MAX);
--- a/crates/standins/src/settings.rs
+++ b/crates/standins/src/settings.rs
@@ -102,15 +102,24 @@
     pub state: &'static str,
 }
 
-/// Returns a catalogue as YAML. Owners may make 100,000 requests a second and hold 100,000 feeds.
+/// Requests a second that each owner may make if nothing else is said.
+pub const OWNER_REQUESTS: u32 = 100_000;
+
+/// Returns a catalogue as YAML in which owners may make [`OWNER_REQUESTS`].
 #[must_use]
 pub fn catalogue(revision: u64, services: &[Service]) -> String {
+    catalogue_with(revision, services, OWNER_REQUESTS)
+}
+
+/// Returns a catalogue as YAML. Owners may hold 100,000 feeds.
+#[must_use]
+pub fn catalogue_with(revision: u64, services: &[Service], owner_requests: u32) -> String {
     let mut owners: Vec<&str> = services.iter().map(|s| s.owner).collect();
     owners.sort_unstable();
     owners.dedup();
     let mut text = format!("revision: {revision}\nowners:\n");
     for owner in owners {
-        let limits = "{ requests: 100000/s, flows: 100000 }";
+        let limits = format!("{{ requests: {owner_requests}/s, flows: 100000 }}");
         let _ = writeln!(text, "- {{ name: {owner}, limits: {limits} }}");
     }
     text.push_str("entries:\n");
--- a/crates/standins/src/target.rs
+++ b/crates/standins/src/target.rs
@@ -1,24 +1,26 @@
 //! A target: slots, feeds, drain, cold start, shedding, and a record of what really ran.
 
+mod body;
+mod connection;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use prost::Message as _;
 use serde::{Deserialize, Serialize};
-use tanager_core::{Clock, FastMap, FastSet, Millis, RequestId, ResultCode};
-use tanager_wire::{FrameReader, FromTarget, Load, ToTarget, encode_frame, raw};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc};
+use tanager_core::{Clock, FastMap, FastSet, Millis, RequestId};
+use tanager_wire::{Load, raw};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
 
 use crate::feed::Feeds;
 
+pub use body::{answer, body_with_latest_start, request_body};
+
 /// Work that arrives this long after the start of a drain counts as a breach.
 const DRAIN_GRACE: Duration = Duration::from_secs(3);
 
@@ -115,6 +117,8 @@
     queued: AtomicU32,
     leaving: AtomicBool,
     left_at: AtomicU64,
+    misleading: AtomicBool,
+    shedding: AtomicBool,
     started: Instant,
     record: Mutex<Record>,
     cancelled: Mutex<FastSet<(u64, u64)>>,
@@ -140,6 +144,8 @@
             queued: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             left_at: AtomicU64::new(0),
+            misleading: AtomicBool::new(options.misleading),
+            shedding: AtomicBool::new(false),
             started: Instant::now(),
             record: Mutex::default(),
             cancelled: Mutex::default(),
@@ -147,7 +153,7 @@
             runs: Mutex::default(),
             options,
         });
-        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        let task = tokio::spawn(connection::accept(listener, Arc::clone(&shared)));
         Ok(Self {
             address,
             shared,
@@ -163,9 +169,7 @@
 
     /// Starts a drain: new work is refused, open feeds stay.
     pub fn drain(&self) {
-        self.shared
-            .left_at
-            .store(self.shared.clock.now().get(), Ordering::Relaxed);
+        self.expect_no_new_work();
         self.shared.leaving.store(true, Ordering::Relaxed);
     }
 
@@ -177,6 +181,22 @@
             .store(self.shared.clock.now().get(), Ordering::Relaxed);
     }
 
+    /// Starts or ends reporting no load and no drain.
+    pub fn set_misleading(&self, misleading: bool) {
+        self.shared.misleading.store(misleading, Ordering::Relaxed);
+    }
+
+    /// Starts or ends shedding every request that finds all slots busy.
+    pub fn set_shedding(&self, shedding: bool) {
+        self.shared.shedding.store(shedding, Ordering::Relaxed);
+    }
+
+    /// Returns the target's number in the catalogue.
+    #[must_use]
+    pub fn number(&self) -> u32 {
+        self.shared.options.number
+    }
+
     /// Returns the number of open feeds.
     #[must_use]
     pub fn open_feeds(&self) -> usize {
@@ -208,236 +228,6 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    // Dropping the set with this task breaks all connections, as a killed process would.
-    let mut connections = JoinSet::new();
-    connections.spawn(crate::feed::push_updates(Arc::clone(&shared)));
-    while let Ok((stream, _)) = listener.accept().await {
-        let id = shared.next_connection.fetch_add(1, Ordering::Relaxed);
-        connections.spawn(serve(stream, id, Arc::clone(&shared)));
-    }
-}
-
-async fn serve(stream: TcpStream, id: u64, shared: Arc<Shared>) {
-    let _ = stream.set_nodelay(true);
-    let (mut reader, mut writer) = stream.into_split();
-    let (sender, mut receiver) = mpsc::unbounded_channel::<FromTarget>();
-    shared.feeds.connect(id, sender.clone());
-    let mut writing = JoinSet::new();
-    writing.spawn(async move {
-        let mut frames = Vec::new();
-        let mut buf = BytesMut::new();
-        while receiver.recv_many(&mut frames, 64).await > 0 {
-            for frame in frames.drain(..) {
-                let _ = encode_frame(&raw::target::FromTarget::from(frame), &mut buf);
-            }
-            if writer.write_all(&buf).await.is_err() {
-                return;
-            }
-            buf.clear();
-        }
-    });
-    let mut frames = FrameReader::default();
-    let mut connection = Connection {
-        id,
-        sender,
-        shared,
-        matched: false,
-    };
-    while let Ok(size) = reader.read_buf(frames.buffer()).await {
-        while let Ok(Some(frame)) = frames.read_frame() {
-            connection.take_frame(frame);
-        }
-        if size == 0 {
-            break;
-        }
-    }
-    connection.shared.feeds.disconnect(id);
-}
-
-struct Connection {
-    id: u64,
-    sender: mpsc::UnboundedSender<FromTarget>,
-    shared: Arc<Shared>,
-    /// Whether the balancer's `Hello` named this target.
-    matched: bool,
-}
-
-impl Connection {
-    fn take_frame(&mut self, frame: Bytes) {
-        let Ok(raw::target::ToTarget { body: Some(frame) }) = raw::target::ToTarget::decode(frame)
-        else {
-            return;
-        };
-        let shared = &self.shared;
-        if !matches!(frame, ToTarget::Hello(_)) && !self.matched {
-            shared.lock_record().wrong_service += 1;
-        }
-        match frame {
-            ToTarget::Hello(hello) => {
-                let options = &shared.options;
-                self.matched = (hello.service, hello.target, hello.target_incarnation)
-                    == (options.service, options.number, options.incarnation);
-                self.send(FromTarget::HelloAck {
-                    service: tanager_core::ServiceId::new(options.service),
-                    target: tanager_core::TargetId::new(options.number),
-                    incarnation: tanager_core::Incarnation::new(options.incarnation),
-                    load: shared.load(),
-                });
-            }
-            ToTarget::OpenFlow(open) => {
-                self.count_new_work(true);
-                self.send(shared.feeds.open(shared, self.id, open));
-            }
-            ToTarget::FlowKeepalive(keepalive) => {
-                for frame in shared.feeds.keepalive(shared, self.id, &keepalive) {
-                    self.send(frame);
-                }
-            }
-            ToTarget::CloseFlow(close) => {
-                if !shared.feeds.close(&close) {
-                    shared.count_unknown_flow();
-                }
-            }
-            ToTarget::Run(run) => {
-                self.count_new_work(is_meant_for(&run.body, shared.options.service));
-                let (shared, sender) = (Arc::clone(shared), self.sender.clone());
-                let mut runs = self.shared.lock_runs();
-                // Ended tasks are removed as they come; the set would grow otherwise.
-                while runs.try_join_next().is_some() {}
-                runs.spawn(run_request(shared, self.id, run, sender));
-            }
-            ToTarget::CancelRun(cancel) => {
-                shared.lock_cancelled().insert((self.id, cancel.run));
-            }
-            ToTarget::Ping(ping) => {
-                self.send(FromTarget::Pong {
-                    number: ping.number,
-                    load: shared.load(),
-                });
-            }
-        }
-    }
-
-    fn count_new_work(&self, meant: bool) {
-        self.shared.count_new_work();
-        if self.matched && !meant {
-            self.shared.lock_record().wrong_service += 1;
-        }
-    }
-
-    fn send(&self, frame: FromTarget) {
-        let _ = self.sender.send(frame);
-    }
-}
-
-async fn run_request(
-    shared: Arc<Shared>,
-    connection: u64,
-    run: raw::target::Run,
-    sender: mpsc::UnboundedSender<FromTarget>,
-) {
-    let number = run.run;
-    let shed = |code| {
-        shared.lock_record().shed += 1;
-        let _ = sender.send(FromTarget::RunShed {
-            run: number,
-            code,
-            load: shared.load(),
-        });
-    };
-    if shared.is_leaving() {
-        return shed(ResultCode::TargetLeaving);
-    }
-    let waiting = shared.queued.fetch_add(1, Ordering::Relaxed);
-    let busy = shared.running.load(Ordering::Relaxed) >= shared.options.slots;
-    let slot = if busy && waiting >= shared.options.queue {
-        None
-    } else {
-        shared.slots.acquire().await.ok()
-    };
-    shared.queued.fetch_sub(1, Ordering::Relaxed);
-    let Some(_slot) = slot else {
-        return shed(ResultCode::TargetShed);
-    };
-    if shared.lock_cancelled().remove(&(connection, number)) {
-        return shed(ResultCode::RequestCancelled);
-    }
-    // Read first, so that a delay between the readings never makes a start look late.
-    let started_at = wall_clock();
-    if shared.clock.now() > Millis::new(run.deadline_ms) {
-        return shed(ResultCode::DeadlinePassed);
-    }
-    shared.running.fetch_add(1, Ordering::Relaxed);
-    shared.record_start(&run, started_at);
-    let started = Instant::now();
-    tokio::time::sleep(shared.service_time()).await;
-    shared.record_end(started.elapsed());
-    shared.running.fetch_sub(1, Ordering::Relaxed);
-    let payload = answer(&run.request, shared.options.answer_size);
-    let load = shared.load();
-    let _ = sender.send(FromTarget::RunDone {
-        run: number,
-        failed: false,
-        payload,
-        load,
-    });
-}
-
-const LATEST_START: &[u8] = b"start by ";
-
-/// Returns a request body that tells targets until when they may start it, on the wall clock of
-/// the machine. Targets use it only to record late starts.
-#[must_use]
-pub fn body_with_latest_start(budget: Duration) -> Bytes {
-    let until = wall_clock() + budget;
-    let mut body = LATEST_START.to_vec();
-    body.extend_from_slice(
-        &u64::try_from(until.as_micros())
-            .unwrap_or(u64::MAX)
-            .to_be_bytes(),
-    );
-    body.into()
-}
-
-fn is_late(body: &[u8], at: Duration) -> bool {
-    let until = body
-        .strip_prefix(LATEST_START)
-        .and_then(|b| b.try_into().ok());
-    until.is_some_and(|until| at > Duration::from_micros(u64::from_be_bytes(until)))
-}
-
-fn wall_clock() -> Duration {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
-
-/// Returns the answer to a request: its id, repeated up to the size. Callers check it.
-#[must_use]
-pub fn answer(request: &[u8], size: usize) -> Bytes {
-    request
-        .iter()
-        .copied()
-        .cycle()
-        .take(size.max(request.len()))
-        .collect()
-}
-
-/// Starts the body of a request whose target checks the service.
-const BODY_PREFIX: &[u8] = b"service:";
-
-/// Returns the body of a request to a service. Targets of other services count it as wrong.
-#[must_use]
-pub fn request_body(service: u32) -> Bytes {
-    [BODY_PREFIX, &service.to_be_bytes()].concat().into()
-}
-
-fn is_meant_for(body: &[u8], service: u32) -> bool {
-    body.strip_prefix(BODY_PREFIX)
-        .is_none_or(|number| number == service.to_be_bytes())
-}
-
 impl Shared {
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -445,7 +235,7 @@
 
     pub(crate) fn load(&self) -> Load {
         let clock = self.clock.now();
-        if self.options.misleading {
+        if self.misleading.load(Ordering::Relaxed) {
             return Load {
                 clock,
                 ..Load::default()
@@ -478,7 +268,7 @@
     fn record_start(&self, run: &raw::target::Run, at: Duration) {
         let mut record = self.lock_record();
         record.requests += 1;
-        record.late_starts += u64::from(is_late(&run.body, at));
+        record.late_starts += u64::from(body::is_late(&run.body, at));
         if let (false, Ok(id)) = (run.repeatable, RequestId::try_from(run.request.as_ref())) {
             *record.runs.entry(id.to_string()).or_default() += 1;
         }
