Choose ports for processes below the range of outgoing connections

Cause: "a balancer does not connect to its targets" ended about one in ten starts of the load tool. The tool took a port from the system, released it and passed it on; that port lies in the range from which outgoing connections take theirs. Ruled out: a slow start; the limit is 10 s and the other balancers connect within 1 s. Not shown directly: which connection took the port. Change: ports are drawn from 10,000 to 31,999, in one place for all programs.

--- a/crates/standins/src/bin/standin-platform.rs
+++ b/crates/standins/src/bin/standin-platform.rs
@@ -1,10 +1,11 @@
 //! The platform stand-in as a process.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use pico_args::Arguments;
 use tanager_standins::platform::Platform;
+use tanager_standins::ports::HeldPort;
 use tanager_standins::program::{self, Ending, Failure};
 
 const HELP: &str = "\
@@ -47,16 +48,10 @@
 /// Holds all ports until the last one is found, so that none is printed twice.
 fn print_ports(count: usize) -> Ending {
     let mut held = Vec::new();
-    for _ in 0..count * 10 {
-        let tcp = TcpListener::bind("127.0.0.1:0").map_err(Failure::failed)?;
-        let address = tcp.local_addr().map_err(Failure::failed)?;
-        if let Ok(udp) = UdpSocket::bind(address) {
-            println!("{}", address.port());
-            held.push((tcp, udp));
-        }
-        if held.len() == count {
-            return Ok(());
-        }
+    for _ in 0..count {
+        let port = HeldPort::find().map_err(Failure::failed)?;
+        println!("{}", port.address.port());
+        held.push(port);
     }
-    Err(Failure::Failed("no free ports".to_owned()))
+    Ok(())
 }
--- a/crates/standins/src/bin/tanager-bench/fleet.rs
+++ b/crates/standins/src/bin/tanager-bench/fleet.rs
@@ -2,15 +2,16 @@
 //! what really happened.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use serde_json::Value;
-use tanager_standins::fleet::{Backend, ZONES, any_port};
+use tanager_standins::fleet::{Backend, ZONES};
 use tanager_standins::load::Tally;
+use tanager_standins::ports::HeldPort;
 use tanager_standins::settings::{Instance, Service, TargetEntry, instance_list};
 use tanager_standins::target::{Options, Record, Target};
 use tanager_standins::verdict::Truth;
@@ -412,12 +413,5 @@
 
 /// Returns an address that is free for TCP and UDP at the moment.
 pub fn free_address() -> io::Result<SocketAddr> {
-    for _ in 0..100 {
-        let tcp = TcpListener::bind(any_port())?;
-        let address = tcp.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(io::Error::other("no free port"))
+    HeldPort::find().map(|port| port.address)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod network;
 pub mod platform;
+pub mod ports;
 pub mod program;
 pub mod settings;
 pub mod target;
