Choose a target only over a link that leads to it as listed

Cause: the router looked links up by target number alone. A catalogue that moves a number to another service is in force before the links follow it, so for that moment the router chose the link of the old service for work of the new one. For flows only an invariant noticed it, which panics in debug builds and goes on in release builds; for requests nothing did. Change: TargetLink::leads_to compares service, address and incarnation; the router and the pool use it.

--- a/crates/proxy/src/routing/router.rs
+++ b/crates/proxy/src/routing/router.rs
@@ -118,7 +118,10 @@
             .iter()
             .filter(|t| t.state == TargetState::Active);
         active
-            .filter_map(|t| self.targets.link(t.id))
+            .filter_map(|t| {
+                let link = self.targets.link(t.id)?;
+                link.leads_to(t, entry.service).then_some(link)
+            })
             .filter(|l| l.is_ready() && !l.load().load.leaving)
             .collect()
     }
--- a/crates/proxy/src/target/link.rs
+++ b/crates/proxy/src/target/link.rs
@@ -89,6 +89,15 @@
         &self.state
     }
 
+    /// Returns whether the link leads to the target as listed for a service. A number may be listed
+    /// for another service, address or incarnation before the links have followed the catalogue.
+    #[must_use]
+    pub fn leads_to(&self, target: &Target, service: ServiceId) -> bool {
+        self.service == service
+            && self.target.address == target.address
+            && self.target.incarnation == target.incarnation
+    }
+
     /// Returns when the connection became ready, on this instance's clock.
     #[must_use]
     pub fn ready_since(&self) -> Millis {
--- a/crates/proxy/src/target/pool.rs
+++ b/crates/proxy/src/target/pool.rs
@@ -65,11 +65,8 @@
         let mut links = FastMap::default();
         for entry in catalogue.entries.values() {
             for target in &entry.targets {
-                let kept = old.get(&target.id).filter(|l| {
-                    l.service == entry.service
-                        && l.target.address == target.address
-                        && l.target.incarnation == target.incarnation
-                });
+                let kept = old.get(&target.id);
+                let kept = kept.filter(|l| l.leads_to(target, entry.service));
                 let link = match kept {
                     Some(link) if link.target == *target => Arc::clone(link),
                     Some(link) => Arc::new(link.relist(target.clone())),
--- a/crates/proxy/src/target/session_tests.rs
+++ b/crates/proxy/src/target/session_tests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tanager_core::{Clock, Incarnation, ServiceId, TargetId};
+use tanager_core::{Clock, Incarnation, ResultCode, ServiceId, TargetId};
 use tanager_wire::{FromTarget, KeyNumber, KeyRing, Load, Secret, ToTarget, encode_frame, raw};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -12,27 +12,56 @@
 use super::TargetPool;
 use super::session::SILENCE_LIMIT;
 use crate::Identity;
-use crate::catalogue::Catalogue;
+use crate::catalogue::{Catalogue, CatalogueStore};
 use crate::flow::{CallerSocket, PendingOpens, ReturnPath};
+use crate::membership::Membership;
 use crate::peer::TcpNetwork;
+use crate::routing::{Placement, Router};
 use crate::telemetry::{Counters, Log};
 use crate::usage::Usage;
 
 /// Time until the fake target answers; this process is paused by then.
 const ANSWER_DELAY: Duration = Duration::from_millis(500);
 
-fn catalogue(address: SocketAddr) -> Catalogue {
-    let text = format!(
-        "revision: 1\n\
+/// A catalogue of two services, in which target 1 belongs to the service of the given number.
+fn catalogue_text(revision: u64, address: SocketAddr, service: u32) -> String {
+    let target = format!(
+        "\x20 targets:\n\
+         \x20 - {{ name: target-1, number: 1, address: {address}, zone: addis-a, incarnation: 1, state: active, slots: 2, flows: 2000 }}\n"
+    );
+    let entry = |name: &str, number| {
+        let targets = if number == service {
+            target.as_str()
+        } else {
+            "\x20 targets: []\n"
+        };
+        format!(
+            "- service: {name}\n  number: {number}\n  owner: abay\n  class: urgent\n\
+             \x20 limits: {{ requests: 1000/s, minimum: 500/s, flows: 2000, queue: 256 }}\n{targets}"
+        )
+    };
+    format!(
+        "revision: {revision}\n\
          owners:\n\
          - {{ name: abay, limits: {{ requests: 4000/s, flows: 28000 }} }}\n\
-         entries:\n\
-         - service: buzz\n  number: 1\n  owner: abay\n  class: urgent\n\
-         \x20 limits: {{ requests: 2000/s, minimum: 500/s, flows: 28000, queue: 256 }}\n\
-         \x20 targets:\n\
-         \x20 - {{ name: buzz-1, number: 1, address: {address}, zone: addis-a, incarnation: 1, state: active, slots: 2, flows: 2000 }}\n"
-    );
-    Catalogue::read(&text).expect("catalogue")
+         entries:\n{}{}",
+        entry("buzz", 1),
+        entry("print", 2)
+    )
+}
+
+fn catalogue(address: SocketAddr) -> Catalogue {
+    Catalogue::read(&catalogue_text(1, address, 1)).expect("catalogue")
+}
+
+fn identity() -> Identity {
+    Identity {
+        name: "node-1".parse().expect("name"),
+        zone: "addis-a".parse().expect("zone"),
+        region: "addis".parse().expect("region"),
+        incarnation: Incarnation::new(1),
+        address: "127.0.0.1:1".parse().expect("address"),
+    }
 }
 
 async fn pool() -> TargetPool {
@@ -45,19 +74,21 @@
         Arc::<Usage>::default(),
         Arc::clone(&counters),
     );
-    let identity = Identity {
-        name: "node-1".parse().expect("name"),
-        zone: "addis-a".parse().expect("zone"),
-        region: "addis".parse().expect("region"),
-        incarnation: Incarnation::new(1),
-        address: "127.0.0.1:1".parse().expect("address"),
-    };
     let (network, path, log) = (
         Arc::new(TcpNetwork),
         Arc::new(return_path),
         Log::discard(clock),
     );
-    TargetPool::new(identity, network, path, counters, clock, log)
+    TargetPool::new(identity(), network, path, counters, clock, log)
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    for _ in 0..500 {
+        if condition() {
+            return;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
 }
 
 fn write_frame(stream: &mut std::net::TcpStream, frame: FromTarget) {
@@ -99,12 +130,7 @@
     let pool = pool().await;
     pool.reconcile(&catalogue(address));
     let link = pool.link(TargetId::new(1)).expect("link");
-    for _ in 0..500 {
-        if link.is_ready() {
-            break;
-        }
-        sleep(Duration::from_millis(10)).await;
-    }
+    wait_until(|| link.is_ready()).await;
     let ping = ToTarget::Ping(raw::target::Ping { number: 1 });
     link.send(ping).expect("ready");
     // Other limits do not break the connection.
@@ -147,14 +173,44 @@
     pool.reconcile(&catalogue(address));
     let link = pool.link(TargetId::new(1)).expect("link");
 
-    for _ in 0..500 {
-        if link.is_mismatched() {
-            break;
-        }
-        sleep(Duration::from_millis(10)).await;
-    }
+    wait_until(|| link.is_mismatched()).await;
 
     assert!(link.is_mismatched());
     assert_eq!(link.load().load, Load::default());
     other.join().expect("other process");
 }
+
+/// Guards against work for one service that is sent over the link of another: a catalogue that moves
+/// a target number to another service is in force before the links follow it.
+#[tokio::test]
+async fn a_moved_target_number_gets_no_work_over_its_old_link() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+    let address = listener.local_addr().expect("address");
+    let target = std::thread::spawn(move || fake_target(&listener));
+    let store = Arc::<CatalogueStore>::default();
+    let pool = Arc::new(pool().await);
+    let before = store.offer(&catalogue_text(1, address, 1)).expect("valid");
+    pool.reconcile(&before);
+    let link = pool.link(TargetId::new(1)).expect("link");
+    wait_until(|| link.is_ready()).await;
+    let router = Router::new(
+        Arc::clone(&store),
+        Arc::clone(&pool),
+        Arc::new(Membership::new(identity())),
+        Clock::start(),
+    );
+    let choose = |number| {
+        let choice = router.choose(ServiceId::new(number), Placement::Request, &[]);
+        choice.map(|c| c.link.service)
+    };
+    assert_eq!(choose(1), Ok(ServiceId::new(1)));
+
+    store.offer(&catalogue_text(2, address, 2)).expect("valid");
+
+    assert_eq!(choose(2), Err(ResultCode::RequestNoTarget));
+    assert_eq!(choose(1), Err(ResultCode::RequestNoTarget));
+    drop((router, pool, link));
+    // Lets the link's task close the connection, for which the target waits.
+    sleep(ANSWER_DELAY / 5).await;
+    target.join().expect("target");
+}
