State that no copy of a request may have a later deadline

Cause: an executor forgets an id 30 s after the latest deadline seen. A copy with a later deadline that arrives after this counts as a new request and runs again; neither the schema nor the type said so. No code changes.

--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -114,7 +114,8 @@
     pub token: Option<Bytes>,
     /// Whether running it twice is harmless.
     pub repeatable: bool,
-    /// Latest start.
+    /// Latest start. No copy of a request may have a later one than the first: the executor forgets
+    /// an id some time after the latest deadline seen, and would then run the copy.
     pub deadline: Deadline,
     /// The answer whose fragments `have` lists; 0 if none has arrived.
     pub answer: u64,
