Read catalogues after a pause like all others

Cause: after a pause a node checked catalogues of peers on the thread of the runtime, which takes tens of milliseconds for a large one, and logged neither their use nor their refusal, although a comment said so. Change: they go through CatalogueStore::take, as those of the platform and of gossip do. No test of its own: woken_instance_places_work_on_a_fresh_view covers the path.

--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -6,7 +6,7 @@
 use rand::seq::IteratorRandom as _;
 use tanager_core::{Clock, Revision, ZoneName};
 
-use crate::catalogue::{CatalogueStore, Reader};
+use crate::catalogue::{CatalogueStore, Reader, Source};
 use crate::execution::{Execution, Refresh};
 use crate::flow::CallerSocket;
 use crate::ingress::Ingress;
@@ -205,11 +205,9 @@
         let calls = some
             .into_iter()
             .map(|peer| self.execution.peers.catalogue(peer.address, revision));
-        for reply in join_all(calls).await {
-            if let Ok(Some(catalogue)) = reply {
-                // A peer's older or invalid catalogue is refused and reported by the store.
-                let _ = self.catalogue.offer(&catalogue.text);
-            }
+        for catalogue in join_all(calls).await.into_iter().flatten().flatten() {
+            let store = Arc::clone(&self.catalogue);
+            store.take(catalogue.text, Source::Peer, &self.log).await;
         }
     }
 }
