Do not record requests of unlisted services

Cause: a request with a made-up service number was recorded in the request table until its deadline plus 30 s, so a flood of them could fill the table (TableFull) for all services. Admission summed the flows of a link that may still belong to another service. Ruled out: refusing before the look-up; the ending of a recorded request must still be told after its service has been removed. Change: such a request is refused as ServiceUnknown with an unknown run state, without a record. Reported flows are summed over links of the entry's own service. Measured: requests_of_unlisted_services_are_not_recorded fails without the check and passes with it.

--- a/crates/proxy/src/admission/control.rs
+++ b/crates/proxy/src/admission/control.rs
@@ -120,6 +120,8 @@
 
     fn reported_flows(&self, entry: &Entry) -> u64 {
         let links = entry.targets.iter().filter_map(|t| self.targets.link(t.id));
+        // Links follow a new catalogue a moment later and may still belong to another service.
+        let links = links.filter(|l| l.service == entry.service);
         links.map(|l| u64::from(l.load().load.flows)).sum()
     }
 }
--- a/crates/proxy/src/execution/executor.rs
+++ b/crates/proxy/src/execution/executor.rs
@@ -218,6 +218,7 @@
         let arrival = Arrival {
             key: job.key,
             deadline: job.deadline,
+            listed: self.router.is_listed(job.key.service),
             exclusive: job.request.token.is_some(),
             leaving: self.membership.is_leaving(),
         };
--- a/crates/proxy/src/execution/table.rs
+++ b/crates/proxy/src/execution/table.rs
@@ -49,6 +49,9 @@
     pub key: RequestKey,
     /// Latest start.
     pub deadline: Millis,
+    /// Whether the catalogue in force has the service. A request of another service is not
+    /// recorded, so that made-up service numbers cannot fill the table.
+    pub listed: bool,
     /// Whether only this incarnation may run it. Otherwise another copy may run elsewhere, so
     /// that it is never refused as "not run".
     pub exclusive: bool,
@@ -177,6 +180,9 @@
             entry.exclusive = arrival.exclusive;
             return Lookup::Ended(ending);
         }
+        if !arrival.listed {
+            return Lookup::Unrecorded(ResultCode::ServiceUnknown);
+        }
         if self.entries.len() >= self.limits.entries {
             return Lookup::Unrecorded(ResultCode::TableFull);
         }
--- a/crates/proxy/src/execution/table_tests.rs
+++ b/crates/proxy/src/execution/table_tests.rs
@@ -26,6 +26,7 @@
     Arrival {
         key: key(number),
         deadline,
+        listed: true,
         exclusive: true,
         leaving: false,
     }
@@ -201,6 +202,30 @@
     ));
 }
 
+/// Guards against made-up service numbers that fill the table, and against the loss of a recorded
+/// ending when its service is removed from the catalogue.
+#[test]
+fn requests_of_unlisted_services_are_not_recorded() {
+    let mut table = RequestTable::new(LIMITS);
+    let known = arrival(1, START + seconds(5));
+    table.begin(known, START);
+    table.end(key(1), answered(10));
+    let unlisted = |arrival| Arrival {
+        listed: false,
+        ..arrival
+    };
+
+    let made_up = table.begin(unlisted(arrival(2, START + seconds(5))), START);
+    let repeated = table.begin(unlisted(known), START);
+
+    assert!(matches!(
+        made_up,
+        Lookup::Unrecorded(ResultCode::ServiceUnknown)
+    ));
+    assert!(matches!(repeated, Lookup::Ended(Ending::Answered { .. })));
+    assert_eq!(table.pending(), 0);
+}
+
 /// Guards against "not run" for a request that another instance may run.
 #[test]
 fn shared_request_is_never_not_run() {
--- a/crates/proxy/src/routing/router.rs
+++ b/crates/proxy/src/routing/router.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Returns whether the catalogue in force has the service.
+    #[must_use]
+    pub fn is_listed(&self, service: ServiceId) -> bool {
+        self.catalogue.current().entry(service).is_some()
+    }
+
     /// Chooses a target of the service that is not excluded.
     ///
     /// # Errors
--- a/crates/proxy/tests/table_size.rs
+++ b/crates/proxy/tests/table_size.rs
@@ -36,6 +36,7 @@
         let arrival = Arrival {
             key: key(number),
             deadline: now + Duration::from_secs(5),
+            listed: true,
             exclusive: true,
             leaving: false,
         };
