Let forwarding open its flows, and name lost requests by code

Cause: the catalogue gave every target 2,000 flows, so forwarding opened 31,996 of its 300,000 flows and failed. planned-changes did not say with which code requests were lost. control counted an instance without a status page as 0.

Ruled out: raising the flows of all targets, which would change what the other tests publish.

Change: a service states the flows of its targets. Unknown outcomes are counted by code and named in the breach. control fails if a status page is missing.

--- a/crates/standins/src/bin/standin-caller.rs
+++ b/crates/standins/src/bin/standin-caller.rs
@@ -80,7 +80,7 @@
     let mut breaches = truth.breaches();
     let mut services = Vec::new();
     for tally in &truth.tallies {
-        let served = tally.once.answered + tally.repeatable.answered;
+        let served = tally.answered();
         if tally.feeds_broken > 0 {
             let (number, service) = (tally.feeds_broken, &tally.name);
             breaches.push(format!("{number} feeds of service {service} broke"));
--- a/crates/standins/src/bin/tanager-bench/faults.rs
+++ b/crates/standins/src/bin/tanager-bench/faults.rs
@@ -82,7 +82,7 @@
     let truth = fleet.truth(tallies).await;
     report.breaches.extend(truth.breaches());
     for tally in &truth.tallies {
-        if tally.once.answered + tally.repeatable.answered == 0 {
+        if tally.answered() == 0 {
             report
                 .breaches
                 .push(format!("{} answered nothing", tally.name));
@@ -95,6 +95,19 @@
     truth.sum(|t| t.once.unknown + t.repeatable.unknown)
 }
 
+/// Names the service and code of every unknown outcome.
+fn unknown_codes(truth: &Truth) -> String {
+    let codes = truth.tallies.iter().flat_map(|t| {
+        let requests = t
+            .once
+            .unknown_codes
+            .iter()
+            .chain(&t.repeatable.unknown_codes);
+        requests.map(move |(code, count)| format!("{} {code} {count}", t.name))
+    });
+    codes.collect::<Vec<_>>().join(", ")
+}
+
 #[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
 pub fn figure(count: u64) -> f64 {
     count as f64
@@ -123,9 +136,10 @@
             .push(format!("{broken} feeds broke in planned changes"));
     }
     if lost > 0 {
-        report
-            .breaches
-            .push(format!("{lost} requests were cut off by planned changes"));
+        report.breaches.push(format!(
+            "{lost} requests were cut off by planned changes: {}",
+            unknown_codes(&truth)
+        ));
     }
     report.figures = vec![
         ("feeds_opened", figure(truth.sum(|t| t.feeds_opened))),
--- a/crates/standins/src/bin/tanager-bench/fleet.rs
+++ b/crates/standins/src/bin/tanager-bench/fleet.rs
@@ -2,69 +2,27 @@
 //! what really happened.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 use serde_json::Value;
-use tanager_standins::fleet::{Backend, ZONES, any_port};
+use tanager_standins::fleet::{Backend, ZONES};
 use tanager_standins::load::Tally;
 use tanager_standins::settings::{Instance, Service, TargetEntry, instance_list};
 use tanager_standins::target::{Options, Record, Target};
 use tanager_standins::verdict::Truth;
 use tokio::time::{Instant, sleep};
 
-/// Longest wait for a process to stop gracefully; a balancer finishes requests for up to 35 s.
-const STOP_LIMIT: Duration = Duration::from_secs(45);
+use crate::balancer::{Balancer, free_address};
+
 /// Longest wait for a balancer to connect to its targets.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
 /// A drained target is removed when its feeds have moved, but not before this time.
 const DRAIN_TIME: Duration = Duration::from_secs(6);
 
-/// A balancer process. Dropping it kills the process.
-pub struct Balancer {
-    pub instance: Instance,
-    child: Child,
-}
-
-impl Balancer {
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    fn is_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
-    }
-
-    /// Sends a signal to this process by its id.
-    pub fn signal(&self, name: &str) {
-        let pid = self.pid().to_string();
-        let _ = Command::new("kill").args(["-s", name, &pid]).status();
-    }
-
-    /// Waits for the process to end after a graceful stop.
-    pub async fn wait(&mut self) -> io::Result<()> {
-        let end = Instant::now() + STOP_LIMIT;
-        while !self.is_ended() {
-            if Instant::now() > end {
-                return Err(io::Error::other("a balancer does not stop"));
-            }
-            sleep(Duration::from_millis(50)).await;
-        }
-        Ok(())
-    }
-}
-
-impl Drop for Balancer {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// The fleet of one experiment.
 pub struct Fleet {
     backend: Backend,
@@ -155,21 +113,9 @@
             .take(4)
             .map(|b| b.instance.peers)
             .collect();
-        let path = self.dir.join(format!("{}.yaml", instance.name));
-        std::fs::write(
-            &path,
-            instance.settings(self.platform.address(), &seeds, "warning"),
-        )?;
-        let program = std::env::current_exe()?.with_file_name("tanager-balancer");
-        let log = std::fs::File::create(path.with_extension("log"))?;
-        let child = Command::new(program)
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        self.balancers.push(Balancer { instance, child });
+        let settings = instance.settings(self.platform.address(), &seeds, "warning");
+        self.balancers
+            .push(Balancer::spawn(instance, &settings, &self.dir)?);
         Ok(())
     }
 
@@ -404,15 +350,3 @@
         }
     }
 }
-
-/// Returns an address that is free for TCP and UDP at the moment.
-pub fn free_address() -> io::Result<SocketAddr> {
-    for _ in 0..100 {
-        let tcp = TcpListener::bind(any_port())?;
-        let address = tcp.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(io::Error::other("no free port"))
-}
--- a/crates/standins/src/bin/tanager-bench/forwarding.rs
+++ b/crates/standins/src/bin/tanager-bench/forwarding.rs
@@ -18,8 +18,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::Plan;
+use crate::balancer::free_address;
 use crate::faults::figure;
-use crate::fleet::{Fleet, free_address};
+use crate::fleet::Fleet;
 use crate::quiet::resident_bytes;
 use crate::report::Report;
 
@@ -45,6 +46,7 @@
     };
     let only = Service {
         flows: 1_000_000,
+        target_flows: 1_000_000,
         ..service("buzz", SERVICE, "abay")
     };
     let mut fleet = Fleet::start(1, vec![(only, 16)], quiet, plan.seed).await?;
--- a/crates/standins/src/bin/tanager-bench/main.rs
+++ b/crates/standins/src/bin/tanager-bench/main.rs
@@ -1,5 +1,6 @@
 //! Runs experiments against real balancer processes and reports figures and broken promises.
 
+mod balancer;
 mod chaos;
 mod faults;
 mod fleet;
--- a/crates/standins/src/bin/tanager-bench/quiet.rs
+++ b/crates/standins/src/bin/tanager-bench/quiet.rs
@@ -36,11 +36,8 @@
     let address = fleet.fabric.address();
     let mut mixes = mixes(50, 1.0);
     let before = drive(address, &mixes, time).await?;
-    let flood = if plan.most_urgent {
-        flood_mix(1, 14, false)
-    } else {
-        flood_mix(2, 4, true)
-    };
+    let (service, targets) = if plan.most_urgent { (1, 14) } else { (2, 4) };
+    let flood = flood_mix(service, targets, !plan.most_urgent);
     let capacity = (flood.once + flood.repeatable) / FLOOD_FACTOR;
     let flooded = flood.service;
     mixes.push(flood);
@@ -48,25 +45,24 @@
     lift_limits(&mut fleet);
     sleep(SETTLE).await;
     let unlimited = drive(address, &mixes, time).await?;
-    let (goodput, p99) = kept(&before, &during, flooded);
-    let (baseline_goodput, baseline_p99) = kept(&before, &unlimited, flooded);
+    let limited = kept(&before, &during, flooded);
+    let baseline = kept(&before, &unlimited, flooded);
     let last = during.last();
-    let served = last.map_or(0, |t| t.once.answered + t.repeatable.answered);
-    let skipped = last.map_or(0, |t| t.once.skipped + t.repeatable.skipped);
-    if skipped > 0 {
+    let served = last.map_or(0, Tally::answered);
+    if let Some(skipped) = last.map(Tally::skipped).filter(|n| *n > 0) {
         eprintln!("{skipped} requests of the flood were not sent: too many were waiting");
     }
     let tallies = [before, during, unlimited].concat();
     let served = figure(served) / (capacity * time.as_secs_f64());
     Ok(Report {
         figures: vec![
-            ("kept_goodput_ratio_min", goodput),
-            ("kept_p99_ratio_max", p99),
+            ("kept_goodput_ratio_min", limited.0),
+            ("kept_p99_ratio_max", limited.1),
             ("flood_served_ratio", served),
         ],
         baselines: vec![
-            ("kept_goodput_ratio_min", baseline_goodput),
-            ("kept_p99_ratio_max", baseline_p99),
+            ("kept_goodput_ratio_min", baseline.0),
+            ("kept_p99_ratio_max", baseline.1),
         ],
         breaches: fleet.truth(tallies).await.breaches(),
         ..Report::default()
@@ -231,10 +227,10 @@
 pub async fn control(plan: &Plan) -> io::Result<Report> {
     let mut fleet = Fleet::start(plan.instances, services(), slow, plan.seed).await?;
     sleep(SETTLE).await;
-    let begin = sample(&fleet).await;
+    let begin = sample(&fleet).await?;
     let time = Duration::from_secs(plan.seconds);
     sleep(time).await;
-    let end = sample(&fleet).await;
+    let end = sample(&fleet).await?;
     // Before anything is counted the figure is unknown rather than 0.
     let bytes = if end["bytes"] > 0.0 {
         end["bytes"] - begin["bytes"]
@@ -265,11 +261,13 @@
 }
 
 /// Sums over all instances.
-async fn sample(fleet: &Fleet) -> FastMap<&'static str, f64> {
+async fn sample(fleet: &Fleet) -> io::Result<FastMap<&'static str, f64>> {
     let mut sums: FastMap<&'static str, f64> = FastMap::default();
     sums.insert("calls", figure(fleet.platform.calls()));
     for (index, balancer) in fleet.balancers.iter().enumerate() {
-        let status = fleet.status(index).await.unwrap_or_default();
+        let status = fleet.status(index).await;
+        // Without an instance's counters the difference of two samples would be wrong.
+        let status = status.ok_or_else(|| io::Error::other("a status page is missing"))?;
         for counter in ["control_sent_bytes", "control_received_bytes"] {
             *sums.entry("bytes").or_default() +=
                 status["counters"][counter].as_f64().unwrap_or(0.0);
@@ -278,7 +276,7 @@
         *sums.entry("memory_mb").or_default() +=
             resident_bytes(balancer.pid()).unwrap_or(0.0) / 1e6;
     }
-    sums
+    Ok(sums)
 }
 
 fn processor_seconds(pid: u32) -> Option<f64> {
--- a/crates/standins/src/feed.rs
+++ b/crates/standins/src/feed.rs
@@ -27,6 +27,19 @@
     heard: Millis,
 }
 
+impl Feed {
+    /// Returns the newest update that the caller should have received by now.
+    fn last_settled(&self, interval: Duration, acked: u64) -> u64 {
+        // Nothing was received yet, so there is no gap to fill.
+        if acked == 0 {
+            return 0;
+        }
+        let settled = RESEND_AFTER.as_millis() / interval.as_millis().max(1);
+        self.sent
+            .saturating_sub(u64::try_from(settled).unwrap_or(0))
+    }
+}
+
 /// The open feeds of a target and its balancer connections.
 #[derive(Default)]
 pub(crate) struct Feeds {
@@ -104,13 +117,7 @@
     ) -> FromTarget {
         let flow = FlowId::try_from(open.flow.as_ref()).unwrap_or(FlowId::new([0; 16]));
         let newest = newest(shared.options.feed_interval);
-        let full = self.len() >= shared.options.flows as usize;
-        let refused = match open.resume_from {
-            _ if shared.is_leaving() => Some(ResultCode::TargetLeaving),
-            _ if full => Some(ResultCode::FlowTargetFull),
-            from if from > 0 && from + HISTORY < newest => Some(ResultCode::FlowNotResumable),
-            _ => None,
-        };
+        let refused = self.refusal(shared, open.resume_from, newest);
         let route = open.route;
         if let Some(code) = refused {
             return FromTarget::FlowRefused {
@@ -142,6 +149,16 @@
         }
     }
 
+    fn refusal(&self, shared: &Shared, resume_from: u64, newest: u64) -> Option<ResultCode> {
+        let full = self.len() >= shared.options.flows as usize;
+        match resume_from {
+            _ if shared.is_leaving() => Some(ResultCode::TargetLeaving),
+            _ if full => Some(ResultCode::FlowTargetFull),
+            from if from > 0 && from + HISTORY < newest => Some(ResultCode::FlowNotResumable),
+            _ => None,
+        }
+    }
+
     /// Returns the frames that answer a keepalive: an acknowledgement and repeated updates.
     pub(crate) fn keepalive(
         &self,
@@ -165,12 +182,7 @@
         let now = shared.clock.now();
         let held = now.since(feed.heard);
         (feed.route, feed.connection, feed.heard) = (route.clone(), connection, now);
-        let settled = RESEND_AFTER.as_millis() / shared.options.feed_interval.as_millis().max(1);
-        let last = feed
-            .sent
-            .saturating_sub(u64::try_from(settled).unwrap_or(0));
-        // Nothing was received yet, so there is no gap to fill.
-        let last = if keepalive.acked == 0 { 0 } else { last };
+        let last = feed.last_settled(shared.options.feed_interval, keepalive.acked);
         let mut frames: Vec<FromTarget> = (keepalive.acked + 1..=last)
             .take(RESEND_LIMIT)
             .map(|sequence| update(shared.options.service, flow, &route, sequence))
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -220,6 +220,7 @@
         requests: 50_000,
         minimum: 100,
         flows: 50_000,
+        target_flows: 2_000,
         targets: Vec::new(),
     }
 }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use tanager_core::{RequestId, ResultCode, RunState};
+use tanager_core::{FastMap, RequestId, ResultCode, RunState};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -57,6 +57,8 @@
     pub not_run: u64,
     /// Requests with unknown outcome.
     pub unknown: u64,
+    /// The codes of requests with unknown outcome and how often each came.
+    pub unknown_codes: FastMap<String, u64>,
     /// Answers that belong to another request.
     pub wrong: u64,
     /// Requests not sent because too many were waiting, or no session opened.
@@ -107,7 +109,10 @@
                 self.not_run += 1;
                 self.not_run_ids.push(id.to_string());
             }
-            Outcome::Refused(_, RunState::Unknown) => self.unknown += 1,
+            Outcome::Refused(code, RunState::Unknown) => {
+                self.unknown += 1;
+                *self.unknown_codes.entry(format!("{code:?}")).or_default() += 1;
+            }
         }
     }
 
@@ -122,6 +127,20 @@
     }
 }
 
+impl Tally {
+    /// Returns the requests answered.
+    #[must_use]
+    pub const fn answered(&self) -> u64 {
+        self.once.answered + self.repeatable.answered
+    }
+
+    /// Returns the requests not sent.
+    #[must_use]
+    pub const fn skipped(&self) -> u64 {
+        self.once.skipped + self.repeatable.skipped
+    }
+}
+
 fn histogram() -> Histogram<u64> {
     Histogram::new_with_max(60_000_000, 3).expect("the bounds are constant and valid")
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -113,16 +113,6 @@
             ("/v1/instances", false) => self.watch("instances", &call).await,
             ("/v1/catalogue", true) => self.edit("catalogue", &call),
             ("/v1/instances", true) => self.edit("instances", &call),
-            ("/v1/fault", true) => {
-                match call.body.trim() {
-                    "none" => self.set_fault(Fault::None),
-                    "down" => self.set_fault(Fault::Down),
-                    "stale" => self.set_fault(Fault::Stale),
-                    _ => return (400, "expected none, down or stale\n".to_owned()),
-                }
-                (200, String::new())
-            }
-            ("/v1/calls", false) => (200, self.calls.load(Ordering::Relaxed).to_string()),
             _ => (404, "no such page\n".to_owned()),
         }
     }
--- a/crates/standins/src/settings.rs
+++ b/crates/standins/src/settings.rs
@@ -83,6 +83,8 @@
     pub minimum: u32,
     /// Open feeds over the fleet.
     pub flows: u64,
+    /// Open feeds of each target.
+    pub target_flows: u32,
     /// The targets.
     pub targets: Vec<TargetEntry>,
 }
@@ -111,7 +113,8 @@
     catalogue_with(revision, services, OWNER_REQUESTS)
 }
 
-/// Returns a catalogue as YAML. Owners may hold 100,000 feeds.
+/// Returns a catalogue as YAML. Owners may hold 100,000 feeds, or as many as
+/// their largest service.
 #[must_use]
 pub fn catalogue_with(revision: u64, services: &[Service], owner_requests: u32) -> String {
     let mut owners: Vec<&str> = services.iter().map(|s| s.owner).collect();
@@ -119,7 +122,9 @@
     owners.dedup();
     let mut text = format!("revision: {revision}\nowners:\n");
     for owner in owners {
-        let limits = format!("{{ requests: {owner_requests}/s, flows: 100000 }}");
+        let of_owner = services.iter().filter(|s| s.owner == owner);
+        let flows = of_owner.map(|s| s.flows).max().unwrap_or(0).max(100_000);
+        let limits = format!("{{ requests: {owner_requests}/s, flows: {flows} }}");
         let _ = writeln!(text, "- {{ name: {owner}, limits: {limits} }}");
     }
     text.push_str("entries:\n");
@@ -134,8 +139,15 @@
             let _ = writeln!(
                 text,
                 "  - {{ name: {}-{}, number: {}, address: \"{}\", zone: {}, incarnation: {}, \
-                 state: {}, slots: 2, flows: 2000 }}",
-                s.name, t.number, t.number, t.address, t.zone, t.incarnation, t.state
+                 state: {}, slots: 2, flows: {} }}",
+                s.name,
+                t.number,
+                t.number,
+                t.address,
+                t.zone,
+                t.incarnation,
+                t.state,
+                s.target_flows
             );
         }
     }
--- a/crates/standins/src/target/connection.rs
+++ b/crates/standins/src/target/connection.rs
@@ -82,17 +82,7 @@
             shared.lock_record().wrong_service += 1;
         }
         match frame {
-            ToTarget::Hello(hello) => {
-                let options = &shared.options;
-                self.matched = (hello.service, hello.target, hello.target_incarnation)
-                    == (options.service, options.number, options.incarnation);
-                self.send(FromTarget::HelloAck {
-                    service: ServiceId::new(options.service),
-                    target: TargetId::new(options.number),
-                    incarnation: Incarnation::new(options.incarnation),
-                    load: shared.load(),
-                });
-            }
+            ToTarget::Hello(hello) => self.take_hello(&hello),
             ToTarget::OpenFlow(open) => {
                 self.count_new_work(true);
                 self.send(shared.feeds.open(shared, self.id, open));
@@ -107,14 +97,7 @@
                     shared.count_unknown_flow();
                 }
             }
-            ToTarget::Run(run) => {
-                self.count_new_work(is_meant_for(&run.body, shared.options.service));
-                let (shared, sender) = (Arc::clone(shared), self.sender.clone());
-                let mut runs = self.shared.lock_runs();
-                // Ended tasks are removed as they come; the set would grow otherwise.
-                while runs.try_join_next().is_some() {}
-                runs.spawn(run_request(shared, self.id, run, sender));
-            }
+            ToTarget::Run(run) => self.start_run(run),
             ToTarget::CancelRun(cancel) => {
                 shared.lock_cancelled().insert((self.id, cancel.run));
             }
@@ -127,6 +110,29 @@
         }
     }
 
+    fn take_hello(&mut self, hello: &raw::target::Hello) {
+        let shared = &self.shared;
+        let options = &shared.options;
+        self.matched = (hello.service, hello.target, hello.target_incarnation)
+            == (options.service, options.number, options.incarnation);
+        self.send(FromTarget::HelloAck {
+            service: ServiceId::new(options.service),
+            target: TargetId::new(options.number),
+            incarnation: Incarnation::new(options.incarnation),
+            load: shared.load(),
+        });
+    }
+
+    fn start_run(&self, run: raw::target::Run) {
+        let shared = &self.shared;
+        self.count_new_work(is_meant_for(&run.body, shared.options.service));
+        let (shared, sender) = (Arc::clone(shared), self.sender.clone());
+        let mut runs = self.shared.lock_runs();
+        // Ended tasks are removed as they come; the set would grow otherwise.
+        while runs.try_join_next().is_some() {}
+        runs.spawn(run_request(shared, self.id, run, sender));
+    }
+
     fn count_new_work(&self, meant: bool) {
         self.shared.count_new_work();
         if self.matched && !meant {
@@ -145,50 +151,54 @@
     run: raw::target::Run,
     sender: mpsc::UnboundedSender<FromTarget>,
 ) {
-    let number = run.run;
-    let shed = |code| {
-        shared.lock_record().shed += 1;
-        let _ = sender.send(FromTarget::RunShed {
-            run: number,
-            code,
-            load: shared.load(),
-        });
-    };
+    let ended = run_in_slot(&shared, connection, &run).await;
+    let (run, load) = (run.run, shared.load());
+    let _ = sender.send(match ended {
+        Ok(payload) => FromTarget::RunDone {
+            run,
+            failed: false,
+            payload,
+            load,
+        },
+        Err(code) => {
+            shared.lock_record().shed += 1;
+            FromTarget::RunShed { run, code, load }
+        }
+    });
+}
+
+/// Returns the answer, or why the request did not start.
+async fn run_in_slot(
+    shared: &Shared,
+    connection: u64,
+    run: &raw::target::Run,
+) -> Result<Bytes, ResultCode> {
     if shared.is_leaving() {
-        return shed(ResultCode::TargetLeaving);
+        return Err(ResultCode::TargetLeaving);
     }
     let waiting = shared.queued.fetch_add(1, Ordering::Relaxed);
     let busy = shared.running.load(Ordering::Relaxed) >= shared.options.slots;
-    let slot =
-        if busy && (waiting >= shared.options.queue || shared.shedding.load(Ordering::Relaxed)) {
-            None
-        } else {
-            shared.slots.acquire().await.ok()
-        };
-    shared.queued.fetch_sub(1, Ordering::Relaxed);
-    let Some(_slot) = slot else {
-        return shed(ResultCode::TargetShed);
+    let full = waiting >= shared.options.queue || shared.shedding.load(Ordering::Relaxed);
+    let slot = if busy && full {
+        None
+    } else {
+        shared.slots.acquire().await.ok()
     };
-    if shared.lock_cancelled().remove(&(connection, number)) {
-        return shed(ResultCode::RequestCancelled);
+    shared.queued.fetch_sub(1, Ordering::Relaxed);
+    let _slot = slot.ok_or(ResultCode::TargetShed)?;
+    if shared.lock_cancelled().remove(&(connection, run.run)) {
+        return Err(ResultCode::RequestCancelled);
     }
     // Read first, so that a delay between the readings never makes a start look late.
     let started_at = wall_clock();
     if shared.clock.now() > Millis::new(run.deadline_ms) {
-        return shed(ResultCode::DeadlinePassed);
+        return Err(ResultCode::DeadlinePassed);
     }
     shared.running.fetch_add(1, Ordering::Relaxed);
-    shared.record_start(&run, started_at);
+    shared.record_start(run, started_at);
     let started = Instant::now();
     tokio::time::sleep(shared.service_time()).await;
     shared.record_end(started.elapsed());
     shared.running.fetch_sub(1, Ordering::Relaxed);
-    let payload = answer(&run.request, shared.options.answer_size);
-    let load = shared.load();
-    let _ = sender.send(FromTarget::RunDone {
-        run: number,
-        failed: false,
-        payload,
-        load,
-    });
+    Ok(answer(&run.request, shared.options.answer_size))
 }
