--- a/crates/standins/src/bin/tanager-bench/forwarding.rs
+++ b/crates/standins/src/bin/tanager-bench/forwarding.rs
@@ -21,7 +21,7 @@
 use crate::balancer::free_address;
 use crate::faults::figure;
 use crate::fleet::Fleet;
-use crate::quiet::resident_bytes;
+use crate::quiet::{processor_seconds, resident_bytes};
 use crate::report::Report;
 
 /// Sockets that send at the same time.
@@ -60,7 +60,10 @@
     let relay = Relay::start().await?;
     let bare = rate(relay.address, &packets, time).await?;
     drop(relay);
+    let idle = processor_seconds(pid).unwrap_or(0.0);
     let forwarded = rate(balancer, &packets, time).await?;
+    let used = processor_seconds(pid).unwrap_or(0.0) - idle;
+    let per_packet = used * 1e6 / (forwarded * time.as_secs_f64());
     let before = resident_bytes(pid).unwrap_or(0.0);
     let held = open(balancer, HELD_FLOWS).await?;
     hold(balancer, &held).await?;
@@ -71,7 +74,11 @@
             ("forward_ratio", forwarded / bare),
             ("bytes_per_held_flow", (after - before).max(0.0) / count),
         ],
-        baselines: vec![("relay_per_s", bare), ("balancer_per_s", forwarded)],
+        baselines: vec![
+            ("relay_per_s", bare),
+            ("balancer_per_s", forwarded),
+            ("balancer_core_us_per_packet", per_packet),
+        ],
         breaches: fleet.truth(Vec::new()).await.breaches(),
         ..Report::default()
     })
--- a/crates/standins/src/bin/tanager-bench/quiet.rs
+++ b/crates/standins/src/bin/tanager-bench/quiet.rs
@@ -279,7 +279,8 @@
     Ok(sums)
 }
 
-fn processor_seconds(pid: u32) -> Option<f64> {
+/// Returns the processor time that a process has used, in seconds.
+pub fn processor_seconds(pid: u32) -> Option<f64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
     // The name in parentheses may contain spaces; user and system time are fields 14 and 15.
     let mut fields = text.rsplit_once(')')?.1.split_whitespace().skip(11);
--- a/crates/standins/src/verdict.rs
+++ b/crates/standins/src/verdict.rs
@@ -67,6 +67,10 @@
                 self.did(|r| r.new_work_after_leave),
                 "pieces of work arrived 3 s after a target left",
             ),
+            (
+                self.did(|r| r.late_starts),
+                "requests started after their deadline",
+            ),
             (self.invariant_violations, "invariants were violated"),
         ];
         let broken = checks.iter().filter(|(count, _)| *count > 0);
