Read a process's use in one place and drop an unused question

Cause: the example for target links had copies of the load tool's readers of processor time and memory, and its copy took kilobytes of 1,024 bytes for 1,000. Nothing called TargetLink::report_age. Change: both use tanager_standins::process; report_age is removed.

--- a/crates/proxy/src/target/link.rs
+++ b/crates/proxy/src/target/link.rs
@@ -104,12 +104,6 @@
         Millis::new(self.state.ready_since.load(Ordering::Relaxed))
     }
 
-    /// Returns the age of the target's last report.
-    #[must_use]
-    pub fn report_age(&self) -> Duration {
-        self.clock.now().since(self.load().at)
-    }
-
     /// Returns whether there is a connection on which the target has proved its identity.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/standins/examples/links.rs
+++ b/crates/standins/examples/links.rs
@@ -10,6 +10,7 @@
 
 use tanager_standins::fleet::{any_port, service};
 use tanager_standins::platform::Platform;
+use tanager_standins::process::{processor_seconds, resident_bytes};
 use tanager_standins::settings::{Instance, TargetEntry, catalogue, instance_list};
 use tanager_standins::target::{Options, Target};
 use tokio::time::sleep;
@@ -20,8 +21,6 @@
 const WINDOW: Duration = Duration::from_secs(10);
 /// Targets of one service.
 const PER_SERVICE: usize = 100;
-/// Scheduler ticks in a second, as the kernel reports processor time.
-const TICKS: f64 = 100.0;
 
 /// A balancer process that ends with the measurement.
 struct Balancer(Child);
@@ -56,11 +55,11 @@
     std::fs::create_dir_all(&dir)?;
     let process = start(balancer, &platform, &dir)?;
     sleep(SETTLE).await;
-    let before = processor_ticks(process.0.id())?;
+    let before = processor(process.0.id())?;
     sleep(WINDOW).await;
-    let after = processor_ticks(process.0.id())?;
-    let core = (after - before) / TICKS / WINDOW.as_secs_f64() * 100.0;
-    let memory = resident_kb(process.0.id())? / 1e3;
+    let after = processor(process.0.id())?;
+    let core = (after - before) / WINDOW.as_secs_f64() * 100.0;
+    let memory = resident_bytes(process.0.id()).ok_or_else(unreadable)? / 1e6;
     println!("{size:7}  {memory:9.1}  {core:12.2}  {:15}", text.len());
     std::fs::remove_dir_all(&dir)
 }
@@ -108,17 +107,10 @@
     command.spawn().map(Balancer)
 }
 
-fn processor_ticks(pid: u32) -> io::Result<f64> {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    let rest = text.rsplit(')').next().unwrap_or_default();
-    let field = |n: usize| rest.split_whitespace().nth(n)?.parse::<f64>().ok();
-    let ticks = field(11).zip(field(12)).map(|(user, system)| user + system);
-    ticks.ok_or_else(|| io::Error::other("the process's statistics cannot be read"))
+fn processor(pid: u32) -> io::Result<f64> {
+    processor_seconds(pid).ok_or_else(unreadable)
 }
 
-fn resident_kb(pid: u32) -> io::Result<f64> {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-    let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
-    number.ok_or_else(|| io::Error::other("the process's memory cannot be read"))
+fn unreadable() -> io::Error {
+    io::Error::other("the process's statistics cannot be read")
 }
--- a/crates/standins/src/bin/tanager-bench/forwarding.rs
+++ b/crates/standins/src/bin/tanager-bench/forwarding.rs
@@ -10,6 +10,7 @@
 use pico_args::Arguments;
 use tanager_core::{FastMap, FlowId, ServiceId};
 use tanager_standins::fleet::{any_port, service};
+use tanager_standins::process::{processor_seconds, resident_bytes};
 use tanager_standins::program::{self, Ending, Failure};
 use tanager_standins::settings::Service;
 use tanager_standins::target::Options;
@@ -21,7 +22,6 @@
 use crate::balancer::free_address;
 use crate::faults::figure;
 use crate::fleet::Fleet;
-use crate::quiet::{processor_seconds, resident_bytes};
 use crate::report::Report;
 
 /// Sockets that send at the same time.
--- a/crates/standins/src/bin/tanager-bench/quiet.rs
+++ b/crates/standins/src/bin/tanager-bench/quiet.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use tanager_core::{FastMap, RequestId};
 use tanager_standins::load::{Mix, Requests, Tally, drive};
+use tanager_standins::process::{processor_seconds, resident_bytes};
 use tanager_standins::verdict::Truth;
 use tokio::time::sleep;
 
@@ -23,8 +24,6 @@
 const UNLIMITED: u32 = 1_000_000;
 /// Two slots and 40 ms for each request.
 const REQUESTS_PER_TARGET: u32 = 50;
-/// Clock ticks a second in `/proc/PID/stat`; fixed in the Linux interface for user programs.
-const TICKS_PER_S: f64 = 100.0;
 
 /// Measures a third of the time without a flood, a third with it, and a third with it while the
 /// published limits do not bind, which is the baseline.
@@ -278,21 +277,3 @@
     }
     Ok(sums)
 }
-
-/// Returns the processor time that a process has used, in seconds.
-pub fn processor_seconds(pid: u32) -> Option<f64> {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name in parentheses may contain spaces; user and system time are fields 14 and 15.
-    let mut fields = text.rsplit_once(')')?.1.split_whitespace().skip(11);
-    let user: f64 = fields.next()?.parse().ok()?;
-    let system: f64 = fields.next()?.parse().ok()?;
-    Some((user + system) / TICKS_PER_S)
-}
-
-/// Returns the resident memory of a process.
-pub fn resident_bytes(pid: u32) -> Option<f64> {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
-    let kilobytes: f64 = line.split_whitespace().next()?.parse().ok()?;
-    Some(kilobytes * 1_024.0)
-}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod network;
 pub mod platform;
 pub mod ports;
+pub mod process;
 pub mod program;
 pub mod settings;
 pub mod target;
