--- /dev/null
+++ b/crates/forward/src/evidence.rs
@@ -0,0 +1,180 @@
+//! What passing packets tell about a target's life. Answers do not pass through an instance, so
+//! life shows in what clients acknowledge, and silence in what they repeat.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tanager_core::{FastMap, Millis};
+
+use crate::{FlowKey, TargetNumber};
+
+/// Time from the first miss in which nothing was heard, after which a target counts as lost.
+/// Packets lost on the way to it come again within a client's first retransmission.
+const LOST_SILENCE: Duration = Duration::from_millis(200);
+/// Misses of one flow alone after which its target counts as lost.
+const LOST_MISSES: u32 = 3;
+/// Flows with misses after which their target counts as lost.
+const LOST_FLOWS: u32 = 2;
+/// How long a miss counts. Shorter than the time in which a target that returned is judged again.
+const MISS_LIFETIME: Duration = Duration::from_secs(3);
+/// Interval at which a lost target gets one packet, to notice that it is back.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is believed about a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    /// It answers, as far as is known.
+    Sound,
+    /// An expected answer has not come.
+    Suspect,
+    /// Several expected answers have not come, and no other has.
+    Lost,
+}
+
+impl fmt::Display for Standing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Sound => "sound",
+            Self::Suspect => "suspect",
+            Self::Lost => "lost",
+        })
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Record {
+    /// The last sign of life.
+    alive: Option<Millis>,
+    /// Misses since the last sign of life.
+    misses: u32,
+    /// Changes of flow among these misses, plus one.
+    flows: u32,
+    last_flow: Option<FlowKey>,
+    first_miss: Millis,
+    last_miss: Millis,
+    last_trial: Millis,
+    /// The standing that was last reported.
+    told: Option<Standing>,
+}
+
+/// Signs of life and misses of each target.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    records: FastMap<TargetNumber, Record>,
+    /// The last sign of life of any target.
+    any_alive: Option<Millis>,
+}
+
+impl Evidence {
+    /// Notes that a target answered.
+    pub fn alive(&mut self, target: TargetNumber, now: Millis) {
+        let record = self.records.entry(target).or_default();
+        record.alive = Some(now);
+        record.misses = 0;
+        record.flows = 0;
+        record.last_flow = None;
+        self.any_alive = Some(now);
+    }
+
+    /// Notes that an expected answer of a target has not come for a flow.
+    pub fn miss(&mut self, target: TargetNumber, flow: FlowKey, now: Millis) {
+        let record = self.records.entry(target).or_default();
+        if record.misses == 0 {
+            record.first_miss = now;
+        }
+        record.misses += 1;
+        if record.last_flow != Some(flow) {
+            record.flows += 1;
+            record.last_flow = Some(flow);
+        }
+        record.last_miss = now;
+        // The first packet after this tells whether it is back, so it waits its turn.
+        record.last_trial = record.last_trial.max(now);
+    }
+
+    /// Forgets what was seen of a target, as when it was started again.
+    pub fn clear(&mut self, target: TargetNumber) {
+        if let Some(record) = self.records.get_mut(&target) {
+            *record = Record {
+                told: record.told,
+                ..Record::default()
+            };
+        }
+    }
+
+    /// Returns what is believed about a target.
+    pub fn standing(&self, target: TargetNumber, now: Millis) -> Standing {
+        self.records
+            .get(&target)
+            .map_or(Standing::Sound, |record| record.standing(now))
+    }
+
+    /// Returns whether a lost target is due for a packet that shows whether it is back, and
+    /// notes that it gets one.
+    pub fn take_trial(&mut self, target: TargetNumber, now: Millis) -> bool {
+        let Some(record) = self.records.get_mut(&target) else {
+            return true;
+        };
+        let due = now.since(record.last_trial) >= TRIAL_INTERVAL;
+        if due {
+            record.last_trial = now;
+        }
+        due
+    }
+
+    /// Returns when a target last showed life.
+    pub fn last_alive(&self, target: TargetNumber) -> Option<Millis> {
+        self.records.get(&target).and_then(|r| r.alive)
+    }
+
+    /// Returns when any target last showed life. If none has for long, the fault is likely on
+    /// this instance's side.
+    pub const fn any_alive(&self) -> Option<Millis> {
+        self.any_alive
+    }
+
+    /// Returns the targets whose standing has changed since the last call.
+    pub fn changes(&mut self, now: Millis) -> Vec<(TargetNumber, Standing, u32, Duration)> {
+        let mut changed = Vec::new();
+        for (target, record) in &mut self.records {
+            let standing = record.standing(now);
+            if record.told.unwrap_or(Standing::Sound) != standing {
+                record.told = Some(standing);
+                let silent = now.since(record.alive.unwrap_or(record.first_miss));
+                changed.push((*target, standing, record.misses, silent));
+            }
+        }
+        changed
+    }
+
+    /// Returns the number of targets with each standing other than sound: suspect, lost.
+    pub fn count(&self, now: Millis) -> (usize, usize) {
+        let of = |standing| {
+            let same = |r: &&Record| r.standing(now) == standing;
+            self.records.values().filter(same).count()
+        };
+        (of(Standing::Suspect), of(Standing::Lost))
+    }
+
+    /// Forgets targets that are not known any more.
+    pub fn retain(&mut self, known: impl Fn(TargetNumber) -> bool) {
+        self.records.retain(|target, _| known(*target));
+    }
+}
+
+impl Record {
+    fn standing(&self, now: Millis) -> Standing {
+        if self.misses == 0 {
+            return Standing::Sound;
+        }
+        let silent = now.since(self.first_miss);
+        let many = self.flows >= LOST_FLOWS || self.misses >= LOST_MISSES;
+        let recent = now.since(self.last_miss) < MISS_LIFETIME;
+        if many && silent >= LOST_SILENCE && recent {
+            Standing::Lost
+        } else {
+            Standing::Suspect
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/flows.rs
@@ -0,0 +1,125 @@
+use std::time::Duration;
+
+use tanager_core::{FastMap, Millis};
+
+use crate::{FlowKey, Segment, TargetNumber};
+
+/// Flows that an instance remembers at most. The rest is forwarded by cookie alone.
+pub const FLOW_LIMIT: usize = 200_000;
+/// A finished flow is remembered for its last packets.
+const FINISHED_LIFETIME: Duration = Duration::from_secs(2);
+/// Without an answer for this long, a request counts as given up.
+const REQUEST_LIFETIME: Duration = Duration::from_secs(6);
+
+/// What an instance remembers of a flow.
+#[derive(Debug, Clone)]
+pub struct Flow {
+    /// Its target, or the last one that was tried while it opens.
+    pub target: TargetNumber,
+    /// Whether the client has acknowledged the target's answer to the opening.
+    pub open: bool,
+    /// Sequence number of the opening packet; 0 if it was not seen here.
+    pub first_sequence: u32,
+    /// End of the data that the client has sent.
+    pub sent: u32,
+    /// End of the target's data that the client has acknowledged.
+    pub acknowledged: u32,
+    /// When the running request began.
+    pub waiting: Option<Millis>,
+    /// When the last packet came.
+    pub seen: Millis,
+    /// Whether the client has sent all that it will send.
+    pub finished: bool,
+}
+
+impl Flow {
+    /// Creates the record of a flow that is being opened.
+    pub fn opening(target: TargetNumber, segment: &Segment, now: Millis) -> Self {
+        Self {
+            target,
+            open: false,
+            first_sequence: segment.sequence,
+            sent: segment.sequence,
+            acknowledged: 0,
+            waiting: None,
+            seen: now,
+            finished: false,
+        }
+    }
+
+    /// Creates the record of an open flow that is first seen in the middle.
+    pub fn adopted(target: TargetNumber, segment: &Segment, now: Millis) -> Self {
+        Self {
+            target,
+            open: true,
+            first_sequence: 0,
+            sent: segment.sequence,
+            acknowledged: segment.acknowledged,
+            waiting: None,
+            seen: now,
+            finished: false,
+        }
+    }
+}
+
+/// The flows of one instance.
+#[derive(Debug, Default)]
+pub struct Flows {
+    /// Invariant: at most [`FLOW_LIMIT`] flows.
+    flows: FastMap<FlowKey, Flow>,
+}
+
+impl Flows {
+    /// Returns a flow.
+    pub fn get_mut(&mut self, key: &FlowKey) -> Option<&mut Flow> {
+        self.flows.get_mut(key)
+    }
+
+    /// Returns a flow.
+    pub fn get(&self, key: &FlowKey) -> Option<&Flow> {
+        self.flows.get(key)
+    }
+
+    /// Remembers a flow. Returns whether there was room.
+    pub fn insert(&mut self, key: FlowKey, flow: Flow) -> bool {
+        let room = self.flows.len() < FLOW_LIMIT || self.flows.contains_key(&key);
+        if room {
+            self.flows.insert(key, flow);
+        }
+        room
+    }
+
+    /// Forgets a flow.
+    pub fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
+        self.flows.remove(key)
+    }
+
+    /// Forgets flows that are over or have been idle for `idle`, and returns them.
+    pub fn expire(&mut self, idle: Duration, now: Millis) -> Vec<Flow> {
+        let over = |_: &FlowKey, flow: &mut Flow| {
+            let age = now.since(flow.seen);
+            age > idle || (flow.finished && age > FINISHED_LIFETIME)
+        };
+        self.flows.extract_if(over).map(|(_, flow)| flow).collect()
+    }
+
+    /// Ends requests that have gone unanswered for long, and returns their targets.
+    pub fn give_up(&mut self, now: Millis) -> Vec<TargetNumber> {
+        let mut targets = Vec::new();
+        for flow in self.flows.values_mut() {
+            if flow
+                .waiting
+                .is_some_and(|at| now.since(at) > REQUEST_LIFETIME)
+            {
+                flow.waiting = None;
+                targets.push(flow.target);
+            }
+        }
+        targets
+    }
+
+    /// Returns the number of flows.
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+}
--- /dev/null
+++ b/crates/forward/src/membership.rs
@@ -0,0 +1,408 @@
+//! Which instances there are, and which of them reads the store for its availability zone.
+//!
+//! Each zone has a hub: the largest instance that is heard from and can read the store. Hubs
+//! read the store and pass on what they read, with the load of their zone, to the instances of
+//! their zone and to the other hubs. An instance that hears from no hub is one itself, so every
+//! part of a divided fleet has hubs. Two hubs in a zone are harmless.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use tanager_core::{FastMap, Incarnation, Millis};
+
+use crate::{Beacon, Cookie, LoadReport, MemberReport};
+
+/// Time between two beacons.
+pub const BEACON_INTERVAL: Duration = Duration::from_millis(400);
+/// An instance that has not been heard from for this long is taken as gone.
+const MEMBER_LIFETIME: Duration = Duration::from_millis(1_500);
+/// Members of another zone that a beacon names, so that hubs find each other.
+const FOREIGN_MEMBERS: usize = 2;
+/// How long a hub's reading may be in doubt before the next instance reads, too.
+const VIEW_DOUBT: Duration = Duration::from_millis(2_200);
+/// Time between two beacons to a seed, which also joins the parts of a divided fleet again.
+const SEED_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The instance itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Self_ {
+    /// Where it receives beacons.
+    pub address: SocketAddrV4,
+    /// This life of it.
+    pub incarnation: Incarnation,
+    /// Position of its availability zone among the sorted zones of the fleet.
+    pub zone: u8,
+    /// Its processor share in thousandths of a core.
+    pub capacity: u16,
+}
+
+/// Another instance.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Position of its availability zone.
+    pub zone: u8,
+    /// Its processor share in thousandths of a core.
+    pub capacity: u16,
+    /// Whether it can read the store.
+    pub reads: bool,
+    /// When it was last heard from, by anyone.
+    pub heard: Millis,
+    /// What it said itself, if it did.
+    direct: Option<Direct>,
+}
+
+#[derive(Debug, Clone)]
+struct Direct {
+    incarnation: Incarnation,
+    heard: Millis,
+    hub: bool,
+    revision: u64,
+    /// When its view was known to be complete, on this instance's clock.
+    verified: Millis,
+    loads: Vec<LoadReport>,
+}
+
+/// What the instance does for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It reads the store for its zone.
+    Hub,
+    /// It learns from its zone's hub.
+    Leaf,
+}
+
+/// What is known of the other instances.
+#[derive(Debug)]
+pub struct Membership {
+    own: Self_,
+    seeds: Vec<SocketAddrV4>,
+    next_seed: usize,
+    seeded: Option<Millis>,
+    members: FastMap<SocketAddrV4, Member>,
+    reads: bool,
+    leaving: bool,
+    /// The own loads that the hub was last told.
+    reported: Vec<LoadReport>,
+}
+
+impl Membership {
+    /// Creates the membership of an instance that knows only seeds.
+    #[must_use]
+    pub fn new(own: Self_, seeds: Vec<SocketAddrV4>) -> Self {
+        let mut membership = Self {
+            own,
+            seeds: Vec::new(),
+            next_seed: 0,
+            seeded: None,
+            members: FastMap::default(),
+            reads: true,
+            leaving: false,
+            reported: Vec::new(),
+        };
+        membership.set_seeds(seeds);
+        membership
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, mut seeds: Vec<SocketAddrV4>) {
+        seeds.retain(|seed| *seed != self.own.address);
+        self.seeds = seeds;
+    }
+
+    /// Notes whether this instance can read the store.
+    pub const fn set_reads(&mut self, reads: bool) {
+        self.reads = reads;
+    }
+
+    /// Notes that this instance is about to stop.
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes a beacon of another instance.
+    pub fn hear(&mut self, beacon: &Beacon, now: Millis) {
+        if beacon.from == self.own.address {
+            return;
+        }
+        for report in &beacon.members {
+            self.hear_of(report, now);
+        }
+        if beacon.leaving {
+            self.members.remove(&beacon.from);
+            return;
+        }
+        let age = Duration::from_millis(u64::from(beacon.age_ms));
+        let member = Member {
+            zone: beacon.zone,
+            capacity: beacon.capacity,
+            reads: beacon.reads,
+            heard: now,
+            direct: Some(Direct {
+                incarnation: beacon.incarnation,
+                heard: now,
+                hub: beacon.hub,
+                revision: beacon.revision,
+                verified: now - age,
+                loads: beacon.loads.clone(),
+            }),
+        };
+        self.members.insert(beacon.from, member);
+    }
+
+    fn hear_of(&mut self, report: &MemberReport, now: Millis) {
+        let age = Duration::from_millis(u64::from(report.age) * 100);
+        if report.address == self.own.address || age > MEMBER_LIFETIME {
+            return;
+        }
+        let heard = now - age;
+        let known = self.members.get_mut(&report.address);
+        if let Some(known) = known {
+            if known.heard < heard {
+                known.heard = heard;
+                known.reads = report.reads;
+            }
+            return;
+        }
+        let member = Member {
+            zone: report.zone,
+            capacity: report.capacity,
+            reads: report.reads,
+            heard,
+            direct: None,
+        };
+        self.members.insert(report.address, member);
+    }
+
+    /// Forgets instances that have not been heard from.
+    pub fn expire(&mut self, now: Millis) {
+        self.members
+            .retain(|_, m| now.since(m.heard) <= MEMBER_LIFETIME);
+    }
+
+    /// Returns the role of this instance. `view_age` is the time since its view was known to be
+    /// complete.
+    #[must_use]
+    pub fn role(&self, view_age: Option<Duration>, now: Millis) -> Role {
+        let doubtful = view_age.is_none_or(|age| age > VIEW_DOUBT);
+        let own = rank(self.own.address, self.own.capacity);
+        let higher = self.members.iter().any(|(address, m)| {
+            m.zone == self.own.zone
+                && m.reads
+                && now.since(m.heard) <= MEMBER_LIFETIME
+                && rank(*address, m.capacity) > own
+        });
+        if higher && !doubtful {
+            Role::Leaf
+        } else {
+            Role::Hub
+        }
+    }
+
+    /// Returns the peer with the newest view, if it is newer than `revision`.
+    #[must_use]
+    pub fn newer_view(&self, revision: u64) -> Option<SocketAddrV4> {
+        let direct = |(address, m): (&SocketAddrV4, &Member)| {
+            let direct = m.direct.as_ref()?;
+            (direct.revision > revision).then_some((direct.revision, *address))
+        };
+        let newest = self.members.iter().filter_map(direct).max();
+        newest.map(|(_, address)| address)
+    }
+
+    /// Returns the latest time at which a peer's view was complete that had this revision.
+    #[must_use]
+    pub fn verified(&self, revision: u64) -> Option<Millis> {
+        let direct = self.members.values().filter_map(|m| m.direct.as_ref());
+        let same = direct.filter(|d| d.revision <= revision);
+        same.map(|d| d.verified).max()
+    }
+
+    /// Returns the number of instances known, without this one.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns whether no other instance is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns whether a beacon's sender was not known in this life of it.
+    #[must_use]
+    pub fn is_new(&self, beacon: &Beacon) -> bool {
+        let known = self.members.get(&beacon.from);
+        let life = known.and_then(|m| m.direct.as_ref()).map(|d| d.incarnation);
+        life != Some(beacon.incarnation)
+    }
+
+    /// Returns whom to send a beacon now.
+    pub fn recipients(&mut self, role: Role, now: Millis) -> Vec<SocketAddrV4> {
+        let mut recipients = match role {
+            Role::Hub => self.hub_recipients(),
+            Role::Leaf => self.best(self.own.zone, 1),
+        };
+        let due = self.seeded.is_none_or(|at| now.since(at) >= SEED_INTERVAL);
+        if (due || self.members.is_empty()) && !self.seeds.is_empty() {
+            self.seeded = Some(now);
+            self.next_seed = (self.next_seed + 1) % self.seeds.len();
+            let seed = self.seeds[self.next_seed];
+            if !recipients.contains(&seed) {
+                recipients.push(seed);
+            }
+        }
+        recipients
+    }
+
+    fn hub_recipients(&self) -> Vec<SocketAddrV4> {
+        let own = self.members.iter().filter(|(_, m)| m.zone == self.own.zone);
+        let mut recipients: Vec<_> = own.map(|(address, _)| *address).collect();
+        for zone in self.foreign_zones() {
+            recipients.extend(self.best(zone, 1));
+        }
+        recipients
+    }
+
+    fn foreign_zones(&self) -> Vec<u8> {
+        let mut zones: Vec<_> = self.members.values().map(|m| m.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.retain(|zone| *zone != self.own.zone);
+        zones
+    }
+
+    /// Returns the highest ranked members of a zone that can read the store.
+    fn best(&self, zone: u8, count: usize) -> Vec<SocketAddrV4> {
+        let members = self.members.iter().filter(|(_, m)| m.zone == zone);
+        let mut ranked: Vec<_> = members
+            .map(|(address, m)| (m.reads, rank(*address, m.capacity), *address))
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, _, address)| address).collect()
+    }
+
+    /// Returns the members that a receiver should know.
+    fn reports(&self, now: Millis) -> Vec<MemberReport> {
+        let own = self.members.iter().filter(|(_, m)| m.zone == self.own.zone);
+        let mut reports: Vec<_> = own.map(|(address, m)| report(*address, m, now)).collect();
+        for zone in self.foreign_zones() {
+            let best = self.best(zone, FOREIGN_MEMBERS);
+            let known = best.iter().filter_map(|a| Some((*a, self.members.get(a)?)));
+            reports.extend(known.map(|(address, m)| report(address, m, now)));
+        }
+        reports
+    }
+
+    /// Creates a beacon for one receiver. `own_loads` are those of this instance alone.
+    pub fn beacon(
+        &mut self,
+        to: SocketAddrV4,
+        role: Role,
+        (revision, view_age): (u64, Option<Duration>),
+        own_loads: &[LoadReport],
+        now: Millis,
+    ) -> Beacon {
+        let age = view_age.map_or(u128::from(u32::MAX), |age| age.as_millis());
+        let same_zone = self
+            .members
+            .get(&to)
+            .is_some_and(|m| m.zone == self.own.zone);
+        let loads = match role {
+            Role::Leaf => {
+                self.reported = own_loads.to_vec();
+                own_loads.to_vec()
+            }
+            Role::Hub => self.summed(own_loads, same_zone, now),
+        };
+        Beacon {
+            from: self.own.address,
+            incarnation: self.own.incarnation,
+            zone: self.own.zone,
+            capacity: self.own.capacity,
+            leaving: self.leaving,
+            reads: self.reads && !self.leaving,
+            hub: role == Role::Hub,
+            revision,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            members: self.reports(now),
+            loads,
+        }
+    }
+
+    /// Returns the load that a hub speaks for: its zone's, for its zone also the other zones'.
+    fn summed(&self, own_loads: &[LoadReport], all_zones: bool, now: Millis) -> Vec<LoadReport> {
+        let mut sums = self.sum(now, |m| all_zones || m.zone == self.own.zone);
+        add(&mut sums, own_loads, 1.0);
+        let report = |(cookie, (busy, flows)): (Cookie, (f64, f64))| {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a sum of counts"
+            )]
+            LoadReport::new(cookie, busy, flows.max(0.0) as u32)
+        };
+        sums.into_iter().map(report).collect()
+    }
+
+    /// Adds up what members reported for themselves or their zone.
+    fn sum(&self, now: Millis, counts: impl Fn(&Member) -> bool) -> LoadSums {
+        let mut sums = LoadSums::default();
+        for member in self.members.values().filter(|m| counts(m)) {
+            let Some(direct) = &member.direct else {
+                continue;
+            };
+            // A second hub of the own zone speaks for the same instances again.
+            let speaks_twice = direct.hub && member.zone == self.own.zone;
+            if !speaks_twice && now.since(direct.heard) <= MEMBER_LIFETIME {
+                add(&mut sums, &direct.loads, 1.0);
+            }
+        }
+        sums
+    }
+
+    /// Returns the load of all instances but this one, as far as it was reported lately.
+    #[must_use]
+    pub fn loads_of_others(&self, role: Role, now: Millis) -> LoadSums {
+        if role == Role::Hub {
+            return self.sum(now, |_| true);
+        }
+        let mut sums = LoadSums::default();
+        let own = self.members.values().filter(|m| m.zone == self.own.zone);
+        let hubs = own.filter_map(|m| m.direct.as_ref()).filter(|d| d.hub);
+        if let Some(hub) = hubs.max_by_key(|d| d.heard) {
+            add(&mut sums, &hub.loads, 1.0);
+            add(&mut sums, &self.reported, -1.0);
+        }
+        sums
+    }
+}
+
+/// Running requests and flows by target.
+pub type LoadSums = FastMap<Cookie, (f64, f64)>;
+
+fn add(sums: &mut LoadSums, loads: &[LoadReport], factor: f64) {
+    for load in loads {
+        let sum = sums.entry(load.cookie).or_default();
+        sum.0 = (sum.0 + load.busy() * factor).max(0.0);
+        sum.1 = (sum.1 + f64::from(load.flows()) * factor).max(0.0);
+    }
+}
+
+/// Larger instances rank first; addresses decide between equal ones.
+fn rank(address: SocketAddrV4, capacity: u16) -> (u16, u32) {
+    let spread = u32::from(*address.ip()).wrapping_mul(0x9e37_79b1);
+    (capacity, spread)
+}
+
+fn report(address: SocketAddrV4, member: &Member, now: Millis) -> MemberReport {
+    let age = now.since(member.heard).as_millis() / 100;
+    MemberReport {
+        address,
+        zone: member.zone,
+        capacity: member.capacity,
+        reads: member.reads,
+        age: u8::try_from(age).unwrap_or(u8::MAX),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/place.rs
@@ -0,0 +1,104 @@
+//! Chooses the target of a new flow: the least loaded one that answers, in the own availability
+//! zone unless its targets are too busy.
+
+use std::time::Duration;
+
+use rand::RngExt as _;
+use rand::rngs::StdRng;
+use tanager_core::{Millis, ServiceName, ZoneName};
+
+use crate::evidence::Evidence;
+use crate::load::Loads;
+use crate::view::{Known, View};
+use crate::{Standing, TargetNumber, TargetState};
+
+/// How much busier, in requests over slots, the own zone's targets may be than another zone's
+/// before flows go there. Traffic between zones costs, and a cut ends its flows.
+const ZONE_PREFERENCE: f64 = 0.4;
+/// Running requests that one open flow stands for, with those of its pauses.
+const FLOW_DEMAND: f64 = 0.035;
+/// Load added to a target that has just started and is still slow.
+const WARMUP_LOAD: f64 = 0.4;
+/// Load added to a target that owes an answer: it is taken after all sound ones.
+const SUSPECT_LOAD: f64 = 10.0;
+/// Load added to a target that has stopped answering: it is a last resort.
+const LOST_LOAD: f64 = 1_000.0;
+/// Random part of a load, so that instances with the same reports do not all choose alike.
+const NOISE: f64 = 0.05;
+
+/// A chosen target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetNumber,
+    /// Its load over its slots with all additions.
+    pub load: f64,
+    /// Targets that were compared.
+    pub candidates: usize,
+}
+
+/// What a choice is based on.
+pub struct Placement<'a> {
+    /// The own availability zone.
+    pub zone: &'a ZoneName,
+    /// Published targets.
+    pub view: &'a View,
+    /// Signs of life.
+    pub evidence: &'a Evidence,
+    /// Load of the targets.
+    pub loads: &'a Loads,
+    /// The present time.
+    pub now: Millis,
+}
+
+impl Placement<'_> {
+    /// Chooses a target of a service, one that is not in `tried` if there is any.
+    pub fn choose(
+        &self,
+        service: &ServiceName,
+        tried: &[TargetNumber],
+        rng: &mut StdRng,
+    ) -> Option<Choice> {
+        let takes =
+            |k: &&Known| k.target.service == *service && k.target.state == TargetState::Ready;
+        let candidates: Vec<_> = self.view.present().filter(takes).collect();
+        let fresh = candidates
+            .iter()
+            .filter(|k| !tried.contains(&k.target.number));
+        let least = |best: Option<(f64, TargetNumber)>, k: &&Known| {
+            let load = self.load(k) + rng.random::<f64>() * NOISE;
+            match best {
+                Some((least, _)) if least <= load => best,
+                _ => Some((load, k.target.number)),
+            }
+        };
+        let (load, target) = fresh.fold(None, least).or_else(|| {
+            // All were tried: the last one may just be slow.
+            candidates.last().map(|k| (self.load(k), k.target.number))
+        })?;
+        Some(Choice {
+            target,
+            load,
+            candidates: candidates.len(),
+        })
+    }
+
+    fn load(&self, known: &Known) -> f64 {
+        let target = &known.target;
+        let load = self.loads.get(target.number, self.now);
+        let running = load.running + load.others + load.flows * FLOW_DEMAND;
+        let mut total = running / f64::from(target.slots);
+        if target.zone != *self.zone {
+            total += ZONE_PREFERENCE;
+        }
+        if known.warmup(self.now) > Duration::ZERO {
+            total += WARMUP_LOAD;
+        }
+        total += match self.evidence.standing(target.number, self.now) {
+            Standing::Sound => 0.0,
+            Standing::Suspect => SUSPECT_LOAD,
+            Standing::Lost => LOST_LOAD,
+        };
+        total
+    }
+}
--- a/crates/proxy/src/settings/checked.rs
+++ b/crates/proxy/src/settings/checked.rs
@@ -53,6 +53,8 @@
 /// How to log.
 #[derive(Debug, Clone)]
 pub struct LogSettings {
+    /// Where lines go.
+    pub output: LogOutput,
     /// Text or JSON.
     pub format: LogFormat,
     /// Lowest level written.
@@ -64,6 +66,7 @@
 impl Default for LogSettings {
     fn default() -> Self {
         Self {
+            output: LogOutput::Stderr,
             format: LogFormat::Text,
             level: slog::Level::Info,
             queue: 4_096,
@@ -71,6 +74,15 @@
     }
 }
 
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogOutput {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
 /// The form of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -227,13 +239,18 @@
     Some((KeyNumber::new(number), secret?))
 }
 
-fn check_log(section: &Section<'_>, check: &mut Checker) -> Option<LogSettings> {
-    section.expect(check, &[], &["format", "level", "queue"]);
+pub(super) fn check_log(section: &Section<'_>, check: &mut Checker) -> Option<LogSettings> {
+    section.expect(check, &[], &["output", "format", "level", "queue"]);
     let LogSettings {
+        mut output,
         mut format,
         mut level,
         mut queue,
     } = LogSettings::default();
+    let outputs = [("stderr", LogOutput::Stderr), ("stdout", LogOutput::Stdout)];
+    if let Some(chosen) = section.choice(check, "output", &outputs) {
+        output = chosen;
+    }
     let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
     let levels = [
         ("error", slog::Level::Error),
@@ -251,6 +268,7 @@
         queue = usize::try_from(lines).ok()?;
     }
     Some(LogSettings {
+        output,
         format,
         level,
         queue,
--- a/crates/proxy/src/settings/section.rs
+++ b/crates/proxy/src/settings/section.rs
@@ -238,6 +238,26 @@
         }
     }
 
+    /// Returns the texts of a list converted to their type.
+    pub(crate) fn parse_list<T>(&self, check: &mut Checker, key: &str) -> Vec<T>
+    where
+        T: FromStr<Err: Display>,
+    {
+        let mut values = Vec::new();
+        for (i, tree) in self.list(check, key).iter().enumerate() {
+            let path = format!("{}[{i}]", self.path(key));
+            let Value::Text(text) = &tree.value else {
+                check.expected(&path, tree, "text");
+                continue;
+            };
+            match text.parse() {
+                Ok(value) => values.push(value),
+                Err(e) => check.report(ResultCode::ValueMalformed, &path, tree.place, e),
+            }
+        }
+        values
+    }
+
     /// Returns the mappings of a list.
     pub(crate) fn sections(&self, check: &mut Checker, key: &str) -> Vec<Section<'a>> {
         let items = self.list(check, key).iter().enumerate();
--- a/crates/proxy/src/status/metrics.rs
+++ b/crates/proxy/src/status/metrics.rs
@@ -1,73 +1,29 @@
 use std::sync::Arc;
 
-use opentelemetry::metrics::MeterProvider as _;
 use opentelemetry_sdk::error::OTelSdkError;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
 
 use crate::Node;
-use crate::telemetry::Counters;
+use crate::telemetry::{Counters, Exporter, Gauge, Read};
 
-/// Reads the present value of a gauge.
-type Read = Box<dyn Fn() -> f64 + Send + Sync>;
-/// Name, description and value of a gauge.
-pub(super) type Gauge = (&'static str, &'static str, Read);
-
-/// The metrics of one instance. Counters and gauges are read when they are asked for.
-pub(super) struct Metrics {
-    registry: Registry,
-    /// Keeps the instruments alive.
-    _provider: SdkMeterProvider,
+/// Creates the metrics of a node. Counters and gauges are read when they are asked for.
+pub(super) fn of(node: &Arc<Node>) -> Result<Exporter, OTelSdkError> {
+    exporter(&node.counters, gauges(node))
 }
 
-impl Metrics {
-    /// Creates instruments for all counters and for `gauges`.
-    pub(super) fn new(
-        counters: &Arc<Counters>,
-        gauges: impl IntoIterator<Item = Gauge>,
-    ) -> Result<Self, OTelSdkError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace("tanager")
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("tanagerproxy");
-        for (name, description, counter) in Counters::ALL {
-            let counters = Arc::clone(counters);
-            let instrument = meter.u64_observable_counter(*name);
-            let instrument = instrument.with_description(description.trim());
-            instrument
-                .with_callback(move |observer| observer.observe(counter(&counters).get(), &[]))
-                .build();
-        }
-        for (name, description, read) in gauges {
-            let instrument = meter.f64_observable_gauge(name);
-            let instrument = instrument.with_description(description);
-            instrument
-                .with_callback(move |observer| observer.observe(read(), &[]))
-                .build();
-        }
-        Ok(Self {
-            registry,
-            _provider: provider,
-        })
-    }
-
-    /// Creates the metrics of a node.
-    pub(super) fn of(node: &Arc<Node>) -> Result<Self, OTelSdkError> {
-        Self::new(&node.counters, gauges(node))
+/// Creates instruments for all counters and for `gauges`.
+pub(super) fn exporter(
+    counters: &Arc<Counters>,
+    gauges: impl IntoIterator<Item = Gauge>,
+) -> Result<Exporter, OTelSdkError> {
+    let exporter = Exporter::new("tanagerproxy")?;
+    for (name, description, counter) in Counters::ALL {
+        let counters = Arc::clone(counters);
+        exporter.counter(name, description, move || counter(&counters).get());
     }
-
-    /// Returns the metrics in the Prometheus text format.
-    pub(super) fn text(&self) -> String {
-        let encoder = TextEncoder::new();
-        encoder
-            .encode_to_string(&self.registry.gather())
-            .unwrap_or_default()
+    for (name, description, read) in gauges {
+        exporter.gauge(name, description, read);
     }
+    Ok(exporter)
 }
 
 /// Gauges of a node: name, description and how to read it.
@@ -115,7 +71,7 @@
     let bind = |(name, description, read): &NodeGauge| {
         // A weak reference, since the node must not keep itself alive through its metrics.
         let (weak, read) = (Arc::downgrade(node), *read);
-        let value: Read = Box::new(move || weak.upgrade().map_or(0.0, |node| read(&node)));
+        let value: Read<f64> = Box::new(move || weak.upgrade().map_or(0.0, |node| read(&node)));
         (*name, *description, value)
     };
     GAUGES.iter().map(bind).collect()
--- a/crates/proxy/src/status/server.rs
+++ b/crates/proxy/src/status/server.rs
@@ -12,9 +12,9 @@
 
 use crate::Node;
 use crate::status::explain::Question;
-use crate::status::metrics::Metrics;
+use crate::status::metrics;
 use crate::status::{StatusPage, UsagePage};
-use crate::telemetry::Part;
+use crate::telemetry::{Exporter, Part};
 
 /// A connection without a complete request for this long is closed. It also ends those whose
 /// client vanished without a word.
@@ -24,12 +24,12 @@
 struct Pages {
     node: Arc<Node>,
     /// `None` if the exporter could not be created.
-    metrics: Option<Metrics>,
+    metrics: Option<Exporter>,
 }
 
 /// Serves the status pages, one task for each connection.
 pub async fn serve(listener: TcpListener, node: Arc<Node>) {
-    let metrics = Metrics::of(&node);
+    let metrics = metrics::of(&node);
     if let Err(error) = &metrics {
         node.log.warn(Part::Status, error);
     }
@@ -101,7 +101,17 @@
         let Some(metrics) = &self.metrics else {
             return text(StatusCode::SERVICE_UNAVAILABLE, "no metrics\n");
         };
-        let mut response = text(StatusCode::OK, metrics.text());
+        let page = match metrics.text() {
+            Ok(page) => page,
+            Err(error) => {
+                self.node.log.warn(Part::Status, &error);
+                return text(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "metrics cannot be written\n",
+                );
+            }
+        };
+        let mut response = text(StatusCode::OK, page);
         let kind = header::HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(header::CONTENT_TYPE, kind);
         response
--- a/crates/proxy/src/status/tests.rs
+++ b/crates/proxy/src/status/tests.rs
@@ -1,7 +1,7 @@
 use tanager_core::RequestId;
 
 use crate::status::explain::Question;
-use crate::status::metrics::Metrics;
+use crate::status::metrics::exporter;
 use crate::telemetry::Counters;
 
 /// Guards against a mistyped question being answered as if it were another one.
@@ -35,12 +35,12 @@
 fn every_counter_is_exported() {
     let counters = std::sync::Arc::new(Counters::default());
     counters.flows_opened.add(7);
-    let metrics = Metrics::new(
+    let metrics = exporter(
         &counters,
         [("revision", "Revision.", Box::new(|| 5.0) as Box<_>)],
     );
 
-    let text = metrics.expect("metrics").text();
+    let text = metrics.expect("metrics").text().expect("text");
 
     for (name, _, _) in Counters::ALL {
         assert!(
--- /dev/null
+++ b/crates/proxy/src/telemetry/exporter.rs
@@ -0,0 +1,87 @@
+use opentelemetry::metrics::{Histogram, Meter, MeterProvider as _};
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Reads the present value of an instrument.
+pub type Read<T> = Box<dyn Fn() -> T + Send + Sync>;
+/// Name, description and value of a gauge.
+pub type Gauge = (&'static str, &'static str, Read<f64>);
+
+/// The metrics of one process in the Prometheus text format.
+pub struct Exporter {
+    registry: Registry,
+    meter: Meter,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+}
+
+impl Exporter {
+    /// Creates an exporter without instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the exporter cannot be registered.
+    pub fn new(scope: &'static str) -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace("tanager")
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self {
+            registry,
+            meter: provider.meter(scope),
+            _provider: provider,
+        })
+    }
+
+    /// Adds a counter that is read when the metrics are asked for.
+    pub fn counter(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        read: impl Fn() -> u64 + Send + Sync + 'static,
+    ) {
+        let instrument = self.meter.u64_observable_counter(name);
+        let instrument = instrument.with_description(description.trim());
+        instrument
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
+    /// Adds a gauge that is read when the metrics are asked for.
+    pub fn gauge(&self, name: &'static str, description: &'static str, read: Read<f64>) {
+        let instrument = self.meter.f64_observable_gauge(name);
+        let instrument = instrument.with_description(description);
+        instrument
+            .with_callback(move |observer| observer.observe(read(), &[]))
+            .build();
+    }
+
+    /// Adds a histogram of times in seconds.
+    #[must_use]
+    pub fn histogram(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        bounds: Vec<f64>,
+    ) -> Histogram<f64> {
+        let instrument = self.meter.f64_histogram(name).with_unit("s");
+        instrument
+            .with_description(description)
+            .with_boundaries(bounds)
+            .build()
+    }
+
+    /// Returns the metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a value cannot be written as text.
+    pub fn text(&self) -> prometheus::Result<String> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- a/crates/proxy/src/telemetry/log.rs
+++ b/crates/proxy/src/telemetry/log.rs
@@ -1,11 +1,12 @@
 use std::fmt;
+use std::io::Write;
 use std::sync::Arc;
 
 use serde::Serialize;
 use slog::{Drain as _, Logger, o};
 use tanager_core::Clock;
 
-use crate::settings::{LogFormat, LogSettings};
+use crate::settings::{LogFormat, LogOutput, LogSettings};
 use crate::telemetry::{Decision, DecisionRing};
 
 /// The parts of the program, each with a fixed prefix in log lines.
@@ -34,6 +35,10 @@
     Usage,
     /// Status pages.
     Status,
+    /// Packets of clients.
+    Forward,
+    /// The store of the platform.
+    Store,
 }
 
 impl fmt::Display for Part {
@@ -50,6 +55,8 @@
             Self::Execution => "[execution]",
             Self::Usage => "[usage]",
             Self::Status => "[status]",
+            Self::Forward => "[forward]",
+            Self::Store => "[store]",
         })
     }
 }
@@ -63,19 +70,23 @@
 }
 
 impl Log {
-    /// Creates a log that writes to standard error from a thread of its own. When more than
-    /// `queue` lines wait, further ones are dropped and their number is logged.
+    /// Creates a log that writes from a thread of its own. When more than `queue` lines wait,
+    /// further ones are dropped and their number is logged.
     #[must_use]
     pub fn new(settings: &LogSettings, clock: Clock) -> Self {
         let queue = settings.queue;
+        let output: Box<dyn Write + Send> = match settings.output {
+            LogOutput::Stderr => Box::new(std::io::stderr()),
+            LogOutput::Stdout => Box::new(std::io::stdout()),
+        };
         let root = match settings.format {
             LogFormat::Text => {
-                let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+                let decorator = slog_term::PlainDecorator::new(output);
                 let drain = slog_term::FullFormat::new(decorator).build().fuse();
                 root_logger(drain, queue, settings.level)
             }
             LogFormat::Json => {
-                let drain = slog_json::Json::default(std::io::stderr()).fuse();
+                let drain = slog_json::Json::default(output).fuse();
                 root_logger(drain, queue, settings.level)
             }
         };
