Take unanswered openings as doubt, not as a lost target

Ruled out: lost packets (three targets were silent to the same client at once) and a cut link (other clients of these targets got on).

Change: an opening that goes unanswered only casts doubt, for 3 s at most; when three targets in a row are silent to one client, the doubt is taken back. Only packets that clients repeat through this instance make a target count as lost.

--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -16,7 +16,8 @@
 const LOST_MISSES: u32 = 3;
 /// Flows with misses after which their target counts as lost.
 const LOST_FLOWS: u32 = 2;
-/// How long a miss counts. Shorter than the time in which a target that returned is judged again.
+/// How long a miss counts. A target that has answered nothing since then gets work again, to see
+/// whether it is back.
 const MISS_LIFETIME: Duration = Duration::from_secs(3);
 /// Interval at which a lost target gets one packet, to notice that it is back.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
@@ -46,7 +47,9 @@
 struct Record {
     /// The last sign of life.
     alive: Option<Millis>,
-    /// Misses since the last sign of life.
+    /// When an opening went unanswered for a while since the last sign of life.
+    doubt: Option<Millis>,
+    /// Repeated packets of clients since the last sign of life.
     misses: u32,
     /// Changes of flow among these misses, plus one.
     flows: u32,
@@ -71,13 +74,28 @@
     pub fn alive(&mut self, target: TargetNumber, now: Millis) {
         let record = self.records.entry(target).or_default();
         record.alive = Some(now);
+        record.doubt = None;
         record.misses = 0;
         record.flows = 0;
         record.last_flow = None;
         self.any_alive = Some(now);
     }
 
-    /// Notes that an expected answer of a target has not come for a flow.
+    /// Notes that an opening has gone unanswered for a while. The client may also go on through
+    /// another instance, so this alone never makes a target count as lost.
+    pub fn doubt(&mut self, target: TargetNumber, now: Millis) {
+        let record = self.records.entry(target).or_default();
+        record.doubt = Some(now);
+    }
+
+    /// Takes a doubt back, as when other targets did not answer the same client either.
+    pub fn trust(&mut self, target: TargetNumber) {
+        if let Some(record) = self.records.get_mut(&target) {
+            record.doubt = None;
+        }
+    }
+
+    /// Notes that a client repeated a packet of a flow, because the target did not answer.
     pub fn miss(&mut self, target: TargetNumber, flow: FlowKey, now: Millis) {
         let record = self.records.entry(target).or_default();
         if record.misses == 0 {
@@ -165,16 +183,16 @@
 
 impl Record {
     fn standing(&self, now: Millis) -> Standing {
-        if self.misses == 0 {
-            return Standing::Sound;
-        }
+        let recent = |at: Millis| now.since(at) < MISS_LIFETIME;
+        let missed = self.misses > 0 && recent(self.last_miss);
         let silent = now.since(self.first_miss);
         let many = self.flows >= LOST_FLOWS || self.misses >= LOST_MISSES;
-        let recent = now.since(self.last_miss) < MISS_LIFETIME;
-        if many && silent >= LOST_SILENCE && recent {
+        if missed && many && silent >= LOST_SILENCE {
             Standing::Lost
-        } else {
+        } else if missed || self.doubt.is_some_and(recent) {
             Standing::Suspect
+        } else {
+            Standing::Sound
         }
     }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -153,7 +153,7 @@
                 continue;
             };
             let (packet, tries) = (opening.packet.clone(), opening.tried.len());
-            self.miss_opening(&key, now);
+            self.doubt_opening(&key, now);
             if tries >= TRIES {
                 continue;
             }
@@ -273,7 +273,7 @@
         if waited.is_some_and(|time| time < ANSWER_TIME) {
             return Some(self.forward(target));
         }
-        self.miss_opening(&key, now);
+        self.evidence.miss(target, key, now);
         match self.replace(&key, now) {
             Some(forward) => Some(Action::Forward(forward)),
             None => Some(self.forward(target)),
@@ -298,11 +298,19 @@
         }
     }
 
-    fn miss_opening(&mut self, key: &FlowKey, now: Millis) {
-        if let Some(flow) = self.flows.get_mut(key)
-            && !flow.open
-        {
-            self.evidence.miss(flow.target, *key, now);
+    /// Notes that a flow's target has not answered the opening for a while.
+    fn doubt_opening(&mut self, key: &FlowKey, now: Millis) {
+        let Some(opening) = self.openings.get(key) else {
+            return;
+        };
+        if opening.tried.len() < TRIES {
+            let target = opening.tried[opening.tried.len() - 1];
+            self.evidence.doubt(target, now);
+            return;
+        }
+        // So many targets are not silent at once: the client goes on elsewhere, or has left.
+        for target in &opening.tried {
+            self.evidence.trust(*target);
         }
     }
 
