Count a request as load for 300 ms at most, and keep members known

Cause: placed flows were logged with loads of 2 in a quiet minute: a client does not acknowledge an answer of one packet until it goes on, so finished requests stayed in the load of their targets. Beacons from seeds of other zones came every 2 s and outlived their 1.5 s, so each counted as a new instance and filled the log.

A closed log output no longer panics.

--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis};
@@ -8,8 +9,18 @@
 pub const FLOW_LIMIT: usize = 200_000;
 /// A finished flow is remembered for its last packets.
 const FINISHED_LIFETIME: Duration = Duration::from_secs(2);
-/// Without an answer for this long, a request counts as given up.
-const REQUEST_LIFETIME: Duration = Duration::from_secs(6);
+/// Time for which a request counts as load. Clients do not acknowledge an answer of a single
+/// packet until they go on, so a request that is open for longer has most likely been answered.
+const RUN_LIMIT: Duration = Duration::from_millis(300);
+
+/// A request whose answer has not been acknowledged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Request {
+    /// When it began.
+    pub begun: Millis,
+    /// Whether it still counts as load of its target.
+    pub counted: bool,
+}
 
 /// What an instance remembers of a flow.
 #[derive(Debug, Clone)]
@@ -24,8 +35,8 @@
     pub sent: u32,
     /// End of the target's data that the client has acknowledged.
     pub acknowledged: u32,
-    /// When the running request began.
-    pub waiting: Option<Millis>,
+    /// The request under way.
+    pub request: Option<Request>,
     /// When the last packet came.
     pub seen: Millis,
     /// Whether the client has sent all that it will send.
@@ -41,7 +52,7 @@
             first_sequence: segment.sequence,
             sent: segment.sequence,
             acknowledged: 0,
-            waiting: None,
+            request: None,
             seen: now,
             finished: false,
         }
@@ -55,11 +66,16 @@
             first_sequence: 0,
             sent: segment.sequence,
             acknowledged: segment.acknowledged,
-            waiting: None,
+            request: None,
             seen: now,
             finished: false,
         }
     }
+
+    /// Returns whether a request of it counts as load of its target.
+    pub fn is_running(&self) -> bool {
+        self.request.is_some_and(|r| r.counted)
+    }
 }
 
 /// The flows of one instance.
@@ -67,6 +83,8 @@
 pub struct Flows {
     /// Invariant: at most [`FLOW_LIMIT`] flows.
     flows: FastMap<FlowKey, Flow>,
+    /// Begun requests that may still count as load, the oldest first.
+    running: VecDeque<(Millis, FlowKey)>,
 }
 
 impl Flows {
@@ -103,19 +121,36 @@
         self.flows.extract_if(over).map(|(_, flow)| flow).collect()
     }
 
-    /// Ends requests that have gone unanswered for long, and returns their targets.
-    pub fn give_up(&mut self, now: Millis) -> Vec<TargetNumber> {
-        let mut targets = Vec::new();
-        for flow in self.flows.values_mut() {
-            if flow
-                .waiting
-                .is_some_and(|at| now.since(at) > REQUEST_LIFETIME)
+    /// Notes that a request of a flow began.
+    pub fn begin(&mut self, key: FlowKey, now: Millis) {
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.request = Some(Request {
+                begun: now,
+                counted: true,
+            });
+            self.running.push_back((now, key));
+        }
+    }
+
+    /// Returns the target of the next request that no longer counts as load, if there is one.
+    pub fn take_overdue(&mut self, now: Millis) -> Option<TargetNumber> {
+        while let Some((begun, key)) = self.running.front().copied() {
+            if now.since(begun) < RUN_LIMIT {
+                return None;
+            }
+            self.running.pop_front();
+            let Some(flow) = self.flows.get_mut(&key) else {
+                continue;
+            };
+            if let Some(request) = &mut flow.request
+                && request.begun == begun
+                && request.counted
             {
-                flow.waiting = None;
-                targets.push(flow.target);
+                request.counted = false;
+                return Some(flow.target);
             }
         }
-        targets
+        None
     }
 
     /// Returns the number of flows.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -133,6 +133,7 @@
 
     /// Decides about a client's packet.
     pub fn packet(&mut self, segment: &Segment, packet: &[u8], now: Millis) -> Action {
+        self.end_overdue(now);
         match segment.kind {
             SegmentKind::Forged => Action::Drop(DropReason::Forged),
             SegmentKind::Open { .. } => self.open(segment, packet, now),
@@ -169,18 +170,23 @@
         let idle = self.view.routes().idle_timeout;
         let idle = if idle.is_zero() { DEFAULT_IDLE } else { idle };
         for flow in self.flows.expire(idle, now) {
-            let waiting = flow.waiting.is_some();
-            self.loads.close(flow.target, !flow.open, waiting, now);
-        }
-        for target in self.flows.give_up(now) {
-            self.loads.end(target, None, now);
+            self.loads
+                .close(flow.target, !flow.open, flow.is_running(), now);
         }
+        self.end_overdue(now);
         self.view.expire(now);
         let view = &self.view;
         self.evidence.retain(|n| view.get(n).is_some());
         self.loads.retain(|n| view.get(n).is_some());
     }
 
+    /// Ends the load of requests that have most likely been answered.
+    fn end_overdue(&mut self, now: Millis) {
+        while let Some(target) = self.flows.take_overdue(now) {
+            self.loads.end(target, None, now);
+        }
+    }
+
     /// Returns decisions and changed beliefs since the last call.
     pub fn take_events(&mut self, now: Millis) -> Vec<Event> {
         for (target, standing, misses, silent) in self.evidence.changes(now) {
@@ -245,8 +251,8 @@
             return self.reset(key, None, ResetReason::NoTarget, 0);
         };
         if let Some(old) = self.flows.remove(&key) {
-            let waiting = old.waiting.is_some();
-            self.loads.close(old.target, !old.open, waiting, now);
+            self.loads
+                .close(old.target, !old.open, old.is_running(), now);
         }
         let flow = Flow::opening(choice.target, segment, now);
         if self.flows.insert(key, flow) {
@@ -392,8 +398,10 @@
         if is_after(segment.acknowledged, flow.acknowledged) {
             flow.acknowledged = segment.acknowledged;
             self.evidence.alive(target, now);
-            if let Some(begun) = flow.waiting.take() {
-                let time = now.since(begun);
+            if let Some(request) = flow.request.take()
+                && request.counted
+            {
+                let time = now.since(request.begun);
                 self.loads.end(target, Some(time), now);
                 if self.answer_times.len() < EVENT_LIMIT {
                     self.answer_times.push(time);
@@ -406,12 +414,12 @@
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
         if is_after(end, flow.sent) {
             flow.sent = end;
-            if flow.waiting.is_none() {
-                flow.waiting = Some(now);
+            if flow.request.is_none() {
+                self.flows.begin(key, now);
                 self.loads.begin(target, now);
             }
-        } else if let Some(begun) = flow.waiting
-            && now.since(begun) >= RESEND_TIME
+        } else if let Some(request) = flow.request
+            && now.since(request.begun) >= RESEND_TIME
         {
             self.evidence.miss(target, key, now);
         }
@@ -511,8 +519,8 @@
     fn forget(&mut self, key: &FlowKey, now: Millis) {
         self.openings.finish(key);
         if let Some(flow) = self.flows.remove(key) {
-            let waiting = flow.waiting.is_some();
-            self.loads.close(flow.target, !flow.open, waiting, now);
+            self.loads
+                .close(flow.target, !flow.open, flow.is_running(), now);
         }
     }
 
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -16,6 +16,8 @@
 pub const BEACON_INTERVAL: Duration = Duration::from_millis(400);
 /// An instance that has not been heard from for this long is taken as gone.
 const MEMBER_LIFETIME: Duration = Duration::from_millis(1_500);
+/// How long an instance is remembered after it was last heard from, to tell its next life.
+const REMEMBERED: Duration = Duration::from_secs(10);
 /// Members of another zone that a beacon names, so that hubs find each other.
 const FOREIGN_MEMBERS: usize = 2;
 /// How long a hub's reading may be in doubt before the next instance reads, too.
@@ -47,6 +49,8 @@
     pub reads: bool,
     /// When it was last heard from, by anyone.
     pub heard: Millis,
+    /// Whether it said that it is about to stop.
+    left: bool,
     /// What it said itself, if it did.
     direct: Option<Direct>,
 }
@@ -127,16 +131,13 @@
         for report in &beacon.members {
             self.hear_of(report, now);
         }
-        if beacon.leaving {
-            self.members.remove(&beacon.from);
-            return;
-        }
         let age = Duration::from_millis(u64::from(beacon.age_ms));
         let member = Member {
             zone: beacon.zone,
             capacity: beacon.capacity,
             reads: beacon.reads,
             heard: now,
+            left: beacon.leaving,
             direct: Some(Direct {
                 incarnation: beacon.incarnation,
                 heard: now,
@@ -168,15 +169,22 @@
             capacity: report.capacity,
             reads: report.reads,
             heard,
+            left: false,
             direct: None,
         };
         self.members.insert(report.address, member);
     }
 
+    /// Returns the instances that were heard from lately and stay.
+    fn present(&self, now: Millis) -> impl Iterator<Item = (&SocketAddrV4, &Member)> {
+        self.members
+            .iter()
+            .filter(move |(_, m)| !m.left && now.since(m.heard) <= MEMBER_LIFETIME)
+    }
+
     /// Forgets instances that have not been heard from.
     pub fn expire(&mut self, now: Millis) {
-        self.members
-            .retain(|_, m| now.since(m.heard) <= MEMBER_LIFETIME);
+        self.members.retain(|_, m| now.since(m.heard) <= REMEMBERED);
     }
 
     /// Returns the role of this instance. `view_age` is the time since its view was known to be
@@ -185,11 +193,8 @@
     pub fn role(&self, view_age: Option<Duration>, now: Millis) -> Role {
         let doubtful = view_age.is_none_or(|age| age > VIEW_DOUBT);
         let own = rank(self.own.address, self.own.capacity);
-        let higher = self.members.iter().any(|(address, m)| {
-            m.zone == self.own.zone
-                && m.reads
-                && now.since(m.heard) <= MEMBER_LIFETIME
-                && rank(*address, m.capacity) > own
+        let higher = self.present(now).any(|(address, m)| {
+            m.zone == self.own.zone && m.reads && rank(*address, m.capacity) > own
         });
         if higher && !doubtful {
             Role::Leaf
@@ -200,12 +205,12 @@
 
     /// Returns the peer with the newest view, if it is newer than `revision`.
     #[must_use]
-    pub fn newer_view(&self, revision: u64) -> Option<SocketAddrV4> {
+    pub fn newer_view(&self, revision: u64, now: Millis) -> Option<SocketAddrV4> {
         let direct = |(address, m): (&SocketAddrV4, &Member)| {
             let direct = m.direct.as_ref()?;
             (direct.revision > revision).then_some((direct.revision, *address))
         };
-        let newest = self.members.iter().filter_map(direct).max();
+        let newest = self.present(now).filter_map(direct).max();
         newest.map(|(_, address)| address)
     }
 
@@ -217,16 +222,10 @@
         same.map(|d| d.verified).max()
     }
 
-    /// Returns the number of instances known, without this one.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.members.len()
-    }
-
-    /// Returns whether no other instance is known.
+    /// Returns the number of other instances that were heard from lately.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.members.is_empty()
+    pub fn count(&self, now: Millis) -> usize {
+        self.present(now).count()
     }
 
     /// Returns whether a beacon's sender was not known in this life of it.
@@ -240,11 +239,11 @@
     /// Returns whom to send a beacon now.
     pub fn recipients(&mut self, role: Role, now: Millis) -> Vec<SocketAddrV4> {
         let mut recipients = match role {
-            Role::Hub => self.hub_recipients(),
-            Role::Leaf => self.best(self.own.zone, 1),
+            Role::Hub => self.hub_recipients(now),
+            Role::Leaf => self.best(self.own.zone, 1, now),
         };
         let due = self.seeded.is_none_or(|at| now.since(at) >= SEED_INTERVAL);
-        if (due || self.members.is_empty()) && !self.seeds.is_empty() {
+        if (due || self.count(now) == 0) && !self.seeds.is_empty() {
             self.seeded = Some(now);
             self.next_seed = (self.next_seed + 1) % self.seeds.len();
             let seed = self.seeds[self.next_seed];
@@ -255,17 +254,17 @@
         recipients
     }
 
-    fn hub_recipients(&self) -> Vec<SocketAddrV4> {
-        let own = self.members.iter().filter(|(_, m)| m.zone == self.own.zone);
+    fn hub_recipients(&self, now: Millis) -> Vec<SocketAddrV4> {
+        let own = self.present(now).filter(|(_, m)| m.zone == self.own.zone);
         let mut recipients: Vec<_> = own.map(|(address, _)| *address).collect();
-        for zone in self.foreign_zones() {
-            recipients.extend(self.best(zone, 1));
+        for zone in self.foreign_zones(now) {
+            recipients.extend(self.best(zone, 1, now));
         }
         recipients
     }
 
-    fn foreign_zones(&self) -> Vec<u8> {
-        let mut zones: Vec<_> = self.members.values().map(|m| m.zone).collect();
+    fn foreign_zones(&self, now: Millis) -> Vec<u8> {
+        let mut zones: Vec<_> = self.present(now).map(|(_, m)| m.zone).collect();
         zones.sort_unstable();
         zones.dedup();
         zones.retain(|zone| *zone != self.own.zone);
@@ -273,8 +272,8 @@
     }
 
     /// Returns the highest ranked members of a zone that can read the store.
-    fn best(&self, zone: u8, count: usize) -> Vec<SocketAddrV4> {
-        let members = self.members.iter().filter(|(_, m)| m.zone == zone);
+    fn best(&self, zone: u8, count: usize, now: Millis) -> Vec<SocketAddrV4> {
+        let members = self.present(now).filter(|(_, m)| m.zone == zone);
         let mut ranked: Vec<_> = members
             .map(|(address, m)| (m.reads, rank(*address, m.capacity), *address))
             .collect();
@@ -285,10 +284,10 @@
 
     /// Returns the members that a receiver should know.
     fn reports(&self, now: Millis) -> Vec<MemberReport> {
-        let own = self.members.iter().filter(|(_, m)| m.zone == self.own.zone);
+        let own = self.present(now).filter(|(_, m)| m.zone == self.own.zone);
         let mut reports: Vec<_> = own.map(|(address, m)| report(*address, m, now)).collect();
-        for zone in self.foreign_zones() {
-            let best = self.best(zone, FOREIGN_MEMBERS);
+        for zone in self.foreign_zones(now) {
+            let best = self.best(zone, FOREIGN_MEMBERS, now);
             let known = best.iter().filter_map(|a| Some((*a, self.members.get(a)?)));
             reports.extend(known.map(|(address, m)| report(address, m, now)));
         }
--- a/crates/proxy/src/telemetry/log.rs
+++ b/crates/proxy/src/telemetry/log.rs
@@ -79,14 +79,15 @@
             LogOutput::Stderr => Box::new(std::io::stderr()),
             LogOutput::Stdout => Box::new(std::io::stdout()),
         };
+        // A closed output must not end the program, and there is nowhere else to say so.
         let root = match settings.format {
             LogFormat::Text => {
                 let decorator = slog_term::PlainDecorator::new(output);
-                let drain = slog_term::FullFormat::new(decorator).build().fuse();
+                let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
                 root_logger(drain, queue, settings.level)
             }
             LogFormat::Json => {
-                let drain = slog_json::Json::default(output).fuse();
+                let drain = slog_json::Json::default(output).ignore_res();
                 root_logger(drain, queue, settings.level)
             }
         };
