Do not flood targets that have just started

The new target got 55 of 378 new flows, twice its part, and was slow: every instance saw it idle until it heard of the others' work 400 ms later.

Change: while a target is cold, its load is multiplied by 1.6, what a request takes longer there, and it counts with at least the mean number of flows. Requests count as load for 150 ms.

--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -11,7 +11,7 @@
 const FINISHED_LIFETIME: Duration = Duration::from_secs(2);
 /// Time for which a request counts as load. Clients do not acknowledge an answer of a single
 /// packet until they go on, so a request that is open for longer has most likely been answered.
-const RUN_LIMIT: Duration = Duration::from_millis(300);
+const RUN_LIMIT: Duration = Duration::from_millis(150);
 
 /// A request whose answer has not been acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -18,7 +18,9 @@
 /// Running requests that one open flow stands for, with those of its pauses.
 const FLOW_DEMAND: f64 = 0.035;
 /// Load added to a target that has just started and is still slow.
-const WARMUP_LOAD: f64 = 0.4;
+const WARMUP_LOAD: f64 = 0.2;
+/// How much longer a request takes at a target that has just started.
+const WARMUP_FACTOR: f64 = 1.6;
 /// Load added to a target that owes an answer: it is taken after all sound ones.
 const SUSPECT_LOAD: f64 = 10.0;
 /// Load added to a target that has stopped answering: it is a last resort.
@@ -62,11 +64,12 @@
         let takes =
             |k: &&Known| k.target.service == *service && k.target.state == TargetState::Ready;
         let candidates: Vec<_> = self.view.present().filter(takes).collect();
+        let mean = self.mean_flows(&candidates);
         let fresh = candidates
             .iter()
             .filter(|k| !tried.contains(&k.target.number));
         let least = |best: Option<(f64, TargetNumber)>, k: &&Known| {
-            let load = self.load(k) + rng.random::<f64>() * NOISE;
+            let load = self.load(k, mean) + rng.random::<f64>() * NOISE;
             match best {
                 Some((least, _)) if least <= load => best,
                 _ => Some((load, k.target.number)),
@@ -74,7 +77,9 @@
         };
         let (load, target) = fresh.fold(None, least).or_else(|| {
             // All were tried: the last one may just be slow.
-            candidates.last().map(|k| (self.load(k), k.target.number))
+            candidates
+                .last()
+                .map(|k| (self.load(k, mean), k.target.number))
         })?;
         Some(Choice {
             target,
@@ -83,17 +88,33 @@
         })
     }
 
-    fn load(&self, known: &Known) -> f64 {
+    /// Returns the mean number of flows over the targets.
+    fn mean_flows(&self, candidates: &[&Known]) -> f64 {
+        let flows = |k: &&Known| self.loads.get(k.target.number, self.now).flows;
+        let sum: f64 = candidates.iter().map(flows).sum();
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let count = candidates.len().max(1) as f64;
+        sum / count
+    }
+
+    fn load(&self, known: &Known, mean_flows: f64) -> f64 {
         let target = &known.target;
         let load = self.loads.get(target.number, self.now);
-        let running = load.running + load.others + load.flows * FLOW_DEMAND;
+        let cold = known.warmup(self.now) > Duration::ZERO;
+        // A target without flows would otherwise draw all new ones while it is slow.
+        let flows = if cold {
+            load.flows.max(mean_flows)
+        } else {
+            load.flows
+        };
+        let running = load.running + load.others + flows * FLOW_DEMAND;
         let mut total = running / f64::from(target.slots);
+        if cold {
+            total = total * WARMUP_FACTOR + WARMUP_LOAD;
+        }
         if target.zone != *self.zone {
             total += ZONE_PREFERENCE;
         }
-        if known.warmup(self.now) > Duration::ZERO {
-            total += WARMUP_LOAD;
-        }
         total += match self.evidence.standing(target.number, self.now) {
             Standing::Sound => 0.0,
             Standing::Suspect => SUSPECT_LOAD,
