Compare a few random targets for a new flow, not all

Ruled out: full targets (cap of 2,000 flows; they held about 20 each) and early easing-in (the flood came when the target was warm).

Change: two random sound targets of the own zone and two of all are compared. Test many_instances.rs: 116 flows at once before, 10 allowed (slots and queue).

--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use rand::RngExt as _;
 use rand::rngs::StdRng;
+use rand::seq::IteratorRandom as _;
 use tanager_core::{Millis, ServiceName, ZoneName};
 
 use crate::evidence::Evidence;
@@ -25,8 +25,8 @@
 const SUSPECT_LOAD: f64 = 10.0;
 /// Load added to a target that has stopped answering: it is a last resort.
 const LOST_LOAD: f64 = 1_000.0;
-/// Random part of a load, so that instances with the same reports do not all choose alike.
-const NOISE: f64 = 0.05;
+/// Targets of the own zone, and as many of all zones, that are compared for one flow.
+const SAMPLE: usize = 2;
 
 /// A chosen target.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -67,15 +67,17 @@
         let mean = self.mean_flows(&candidates);
         let fresh = candidates
             .iter()
+            .copied()
             .filter(|k| !tried.contains(&k.target.number));
-        let least = |best: Option<(f64, TargetNumber)>, k: &&Known| {
-            let load = self.load(k, mean) + rng.random::<f64>() * NOISE;
+        let least = |best: Option<(f64, TargetNumber)>, k: &Known| {
+            let load = self.load(k, mean);
             match best {
                 Some((least, _)) if least <= load => best,
                 _ => Some((load, k.target.number)),
             }
         };
-        let (load, target) = fresh.fold(None, least).or_else(|| {
+        let sample = self.sample(fresh, rng);
+        let (load, target) = sample.into_iter().fold(None, least).or_else(|| {
             // All were tried: the last one may just be slow.
             candidates
                 .last()
@@ -88,6 +90,24 @@
         })
     }
 
+    /// Draws the targets to compare: some sound ones of the own zone, and some of all.
+    ///
+    /// Instances hear of each other's choices late. If all compared all targets, all would
+    /// choose the same one in the meantime.
+    fn sample<'k>(
+        &self,
+        candidates: impl Iterator<Item = &'k Known> + Clone,
+        rng: &mut StdRng,
+    ) -> Vec<&'k Known> {
+        let near = candidates.clone().filter(|k| {
+            let standing = self.evidence.standing(k.target.number, self.now);
+            k.target.zone == *self.zone && standing == Standing::Sound
+        });
+        let mut sample = near.sample(rng, SAMPLE);
+        sample.extend(candidates.sample(rng, SAMPLE));
+        sample
+    }
+
     /// Returns the mean number of flows over the targets.
     fn mean_flows(&self, candidates: &[&Known]) -> f64 {
         let flows = |k: &&Known| self.loads.get(k.target.number, self.now).flows;
