--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -1,10 +1,9 @@
 use std::fmt;
 use std::net::SocketAddrV4;
-use std::time::Duration;
 
 use tanager_core::ServiceName;
 
-use crate::{Cookie, FlowKey, Standing, TargetNumber};
+use crate::{Cookie, FlowKey, StandingChange, TargetNumber};
 
 /// Where a packet is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -132,14 +131,5 @@
         reason: DropReason,
     },
     /// A target is believed in another state than before.
-    Standing {
-        /// The target.
-        target: TargetNumber,
-        /// What is believed now.
-        standing: Standing,
-        /// Expected answers that did not come since the last one that did.
-        misses: u32,
-        /// Time since the last sign of life.
-        silent: Duration,
-    },
+    Standing(StandingChange),
 }
--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -43,6 +43,19 @@
     }
 }
 
+/// A target that is believed in another state than before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StandingChange {
+    /// The target.
+    pub target: TargetNumber,
+    /// What is believed now.
+    pub standing: Standing,
+    /// Repeated packets of clients since the last sign of life.
+    pub misses: u32,
+    /// Time since the last sign of life; `None` if there was none.
+    pub silent: Option<Duration>,
+}
+
 #[derive(Debug, Clone, Default)]
 struct Record {
     /// The last sign of life.
@@ -153,14 +166,19 @@
     }
 
     /// Returns the targets whose standing has changed since the last call.
-    pub fn changes(&mut self, now: Millis) -> Vec<(TargetNumber, Standing, u32, Duration)> {
+    pub fn changes(&mut self, now: Millis) -> Vec<StandingChange> {
         let mut changed = Vec::new();
         for (target, record) in &mut self.records {
             let standing = record.standing(now);
             if record.told.unwrap_or(Standing::Sound) != standing {
                 record.told = Some(standing);
-                let silent = now.since(record.alive.unwrap_or(record.first_miss));
-                changed.push((*target, standing, record.misses, silent));
+                let silent = record.alive.map(|at| now.since(at));
+                changed.push(StandingChange {
+                    target: *target,
+                    standing,
+                    misses: record.misses,
+                    silent,
+                });
             }
         }
         changed
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -233,13 +233,8 @@
 
     /// Returns decisions and changed beliefs since the last call.
     pub fn take_events(&mut self, now: Millis) -> Vec<Event> {
-        for (target, standing, misses, silent) in self.evidence.changes(now) {
-            self.note(Event::Standing {
-                target,
-                standing,
-                misses,
-                silent,
-            });
+        for change in self.evidence.changes(now) {
+            self.note(Event::Standing(change));
         }
         std::mem::take(&mut self.events)
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use action::{Action, DropReason, Due, Event, Forward, ResetReason};
 pub use beacon::{Beacon, LoadReport, MemberReport};
-pub use evidence::Standing;
+pub use evidence::{Standing, StandingChange};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
 pub use membership::{BEACON_INTERVAL, LoadSums, Member, Membership, Role, Self_};
--- a/crates/forward/tests/moved_clients.rs
+++ b/crates/forward/tests/moved_clients.rs
@@ -8,7 +8,7 @@
 
 fn standings(events: &[Event]) -> Vec<Standing> {
     let standing = |e: &Event| match e {
-        Event::Standing { standing, .. } => Some(*standing),
+        Event::Standing(change) => Some(change.standing),
         _ => None,
     };
     events.iter().filter_map(standing).collect()
--- a/crates/forward/tests/reordered_requests.rs
+++ b/crates/forward/tests/reordered_requests.rs
@@ -22,7 +22,7 @@
 
     let events = forwarder.take_events(at(4_000));
 
-    let standing = |e: &Event| matches!(e, Event::Standing { .. });
+    let standing = |e: &Event| matches!(e, Event::Standing(_));
     assert!(!events.iter().any(standing), "{events:?}");
 }
 
@@ -41,15 +41,8 @@
 
     assert_eq!(sent_to(first), sent_to(second));
     let events = forwarder.take_events(at(later + 201));
-    let lost = |e: &Event| {
-        matches!(
-            e,
-            Event::Standing {
-                standing: Standing::Lost,
-                ..
-            }
-        )
-    };
+    let lost =
+        |e: &Event| matches!(e, Event::Standing(change) if change.standing == Standing::Lost);
     assert!(!events.iter().any(lost), "{events:?}");
     assert!(!matches!(second, Action::Reset { .. }));
 }
