--- /dev/null
+++ b/crates/forward/tests/hubs.rs
@@ -0,0 +1,133 @@
+//! Pattern: instances of several zones find each other through seeds, and one of each zone reads
+//! the store for the others.
+
+mod common;
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use common::at;
+use tanager_core::{Incarnation, Millis};
+use tanager_forward::{Cookie, LoadReport, Membership, Role, Self_};
+
+/// A view age that casts no doubt.
+const FRESH: Option<Duration> = Some(Duration::from_millis(500));
+
+fn address(host: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host), 7_720)
+}
+
+fn member(host: u8, zone: u8, capacity: u16) -> Membership {
+    let own = Self_ {
+        address: address(host),
+        incarnation: Incarnation::new(u64::from(host)),
+        zone,
+        capacity,
+    };
+    Membership::new(own, vec![address(1), address(2)])
+}
+
+fn send(
+    from: &mut Membership,
+    to: &mut Membership,
+    to_host: u8,
+    loads: &[LoadReport],
+    now: Millis,
+) {
+    let role = from.role(FRESH, now);
+    let beacon = from.beacon(address(to_host), role, (7, FRESH), loads, now);
+    to.hear(&beacon, now);
+}
+
+/// Guards against a fleet in which every instance reads the store.
+#[test]
+fn the_largest_instance_of_a_zone_reads() {
+    let mut large = member(1, 0, 500);
+    let mut small = member(2, 0, 38);
+    send(&mut large, &mut small, 2, &[], at(0));
+    send(&mut small, &mut large, 1, &[], at(0));
+
+    assert_eq!(large.role(FRESH, at(100)), Role::Hub);
+    assert_eq!(small.role(FRESH, at(100)), Role::Leaf);
+}
+
+/// Guards against waiting for a hub that has gone, or that cannot read the store.
+#[test]
+fn the_next_instance_takes_over() {
+    let mut large = member(1, 0, 500);
+    let mut small = member(2, 0, 38);
+    send(&mut large, &mut small, 2, &[], at(0));
+    let silent = small.role(FRESH, at(1_600));
+    large.set_reads(false);
+    send(&mut large, &mut small, 2, &[], at(2_000));
+    let blind = small.role(FRESH, at(2_100));
+    large.set_reads(true);
+    send(&mut large, &mut small, 2, &[], at(2_400));
+    let back = small.role(FRESH, at(2_500));
+    large.leave();
+    send(&mut large, &mut small, 2, &[], at(2_800));
+    let left = small.role(FRESH, at(2_900));
+
+    assert_eq!((silent, blind), (Role::Hub, Role::Hub));
+    assert_eq!((back, left), (Role::Leaf, Role::Hub));
+}
+
+/// Guards against trusting a hub whose view nobody has confirmed for long.
+#[test]
+fn an_instance_reads_itself_when_its_view_is_in_doubt() {
+    let mut large = member(1, 0, 500);
+    let mut small = member(2, 0, 38);
+    send(&mut large, &mut small, 2, &[], at(0));
+
+    assert_eq!(small.role(Some(Duration::from_secs(3)), at(100)), Role::Hub);
+    assert_eq!(small.role(None, at(100)), Role::Hub);
+}
+
+/// Guards against hubs of other zones that are never found.
+#[test]
+fn hubs_learn_of_other_zones_through_a_seed() {
+    let mut seed = member(1, 0, 500);
+    let mut second = member(2, 1, 500);
+    let mut third = member(3, 2, 500);
+    send(&mut second, &mut seed, 1, &[], at(0));
+    send(&mut third, &mut seed, 1, &[], at(10));
+
+    send(&mut seed, &mut third, 3, &[], at(20));
+    let recipients = third.recipients(Role::Hub, at(30));
+
+    assert!(recipients.contains(&address(2)), "{recipients:?}");
+}
+
+/// Guards against counting an instance's own work, or a zone's, twice.
+#[test]
+fn loads_are_counted_once() {
+    let cookie = Cookie::new(9);
+    let load = |busy, flows| [LoadReport::new(cookie, busy, flows)];
+    let mut hub = member(1, 0, 500);
+    let mut leaf = member(2, 0, 38);
+    let mut far = member(3, 1, 500);
+    send(&mut hub, &mut leaf, 2, &load(1.0, 10), at(0));
+    send(&mut leaf, &mut hub, 1, &load(0.5, 5), at(10));
+    send(&mut far, &mut hub, 1, &load(0.25, 3), at(20));
+
+    send(&mut hub, &mut leaf, 2, &load(1.0, 10), at(30));
+    send(&mut hub, &mut far, 3, &load(1.0, 10), at(30));
+
+    let of = |m: &Membership, role| m.loads_of_others(role, at(40)).get(&cookie).copied();
+    assert_eq!(of(&hub, Role::Hub), Some((0.75, 8.0)));
+    assert_eq!(of(&leaf, Role::Leaf), Some((1.25, 13.0)));
+    assert_eq!(of(&far, Role::Hub), Some((1.5, 15.0)));
+}
+
+/// Guards against beacons whose number grows with the fleet for an ordinary instance.
+#[test]
+fn a_leaf_sends_one_beacon_a_round() {
+    let mut leaf = member(9, 0, 38);
+    for host in 3..30 {
+        let mut other = member(host, 0, 38 + u16::from(host));
+        send(&mut other, &mut leaf, 9, &[], at(0));
+    }
+    leaf.recipients(Role::Leaf, at(10));
+
+    assert_eq!(leaf.recipients(Role::Leaf, at(410)).len(), 1);
+}
