--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -74,8 +74,6 @@
     NoRoute,
     /// The route's service has no target that could take the flow.
     NoTarget,
-    /// Every target's queue is longer than the request's time.
-    Overload,
     /// The flow's target has left.
     TargetGone,
     /// The flow's target has stopped answering.
@@ -87,7 +85,6 @@
         f.write_str(match self {
             Self::NoRoute => "no-route",
             Self::NoTarget => "no-target",
-            Self::Overload => "overload",
             Self::TargetGone => "target-gone",
             Self::TargetLost => "target-lost",
         })
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -22,6 +22,10 @@
 const FOREIGN_MEMBERS: usize = 2;
 /// How long a hub's reading may be in doubt before the next instance reads, too.
 const VIEW_DOUBT: Duration = Duration::from_millis(2_200);
+/// Loads of one beacon at most; in larger fleets the busiest targets are reported.
+const LOAD_LIMIT: usize = 128;
+/// Members of the own zone that a beacon names at most. The first of them take over as hub.
+const MEMBER_LIMIT: usize = 16;
 /// Time between two beacons to a seed, which also joins the parts of a divided fleet again.
 const SEED_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -192,17 +196,22 @@
     #[must_use]
     pub fn role(&self, view_age: Option<Duration>, now: Millis) -> Role {
         let doubtful = view_age.is_none_or(|age| age > VIEW_DOUBT);
-        let own = rank(self.own.address, self.own.capacity);
-        let higher = self.present(now).any(|(address, m)| {
-            m.zone == self.own.zone && m.reads && rank(*address, m.capacity) > own
-        });
-        if higher && !doubtful {
+        if self.is_outranked(now) && !doubtful {
             Role::Leaf
         } else {
             Role::Hub
         }
     }
 
+    /// Returns whether a higher ranked instance of the zone can read the store.
+    #[must_use]
+    pub fn is_outranked(&self, now: Millis) -> bool {
+        let own = rank(self.own.address, self.own.capacity);
+        self.present(now).any(|(address, m)| {
+            m.zone == self.own.zone && m.reads && rank(*address, m.capacity) > own
+        })
+    }
+
     /// Returns the peer with the newest view, if it is newer than `revision`.
     #[must_use]
     pub fn newer_view(&self, revision: u64, now: Millis) -> Option<SocketAddrV4> {
@@ -284,10 +293,11 @@
 
     /// Returns the members that a receiver should know.
     fn reports(&self, now: Millis) -> Vec<MemberReport> {
-        let own = self.present(now).filter(|(_, m)| m.zone == self.own.zone);
-        let mut reports: Vec<_> = own.map(|(address, m)| report(*address, m, now)).collect();
-        for zone in self.foreign_zones(now) {
-            let best = self.best(zone, FOREIGN_MEMBERS, now);
+        let mut reports = Vec::new();
+        let foreign = self.foreign_zones(now);
+        let foreign = foreign.iter().map(|zone| (*zone, FOREIGN_MEMBERS));
+        for (zone, count) in foreign.chain([(self.own.zone, MEMBER_LIMIT)]) {
+            let best = self.best(zone, count, now);
             let known = best.iter().filter_map(|a| Some((*a, self.members.get(a)?)));
             reports.extend(known.map(|(address, m)| report(address, m, now)));
         }
@@ -342,7 +352,12 @@
             )]
             LoadReport::new(cookie, busy, flows.max(0.0) as u32)
         };
-        sums.into_iter().map(report).collect()
+        let mut loads: Vec<_> = sums.into_iter().map(report).collect();
+        if loads.len() > LOAD_LIMIT {
+            loads.sort_unstable_by(|a, b| b.busy().total_cmp(&a.busy()));
+            loads.truncate(LOAD_LIMIT);
+        }
+        loads
     }
 
     /// Adds up what members reported for themselves or their zone.
