Keep only translation in platform/, and move the instance to a library

Change: crate tanager-forwarder holds the instance as a library behind two traits at its edge, PacketFormat and Source, which speak product types only. platform/ keeps header, entries, store calls and the command line: 573 lines without tests. No behaviour changes but one: an entry that cannot be used removes the target that it named, at any place.

--- a/platform/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -5,22 +5,36 @@
 use std::rc::Rc;
 
 use tanager_core::Millis;
-use tanager_forward::{Action, FlowKey, Forward};
+use tanager_forward::{Action, FlowKey, Forward, Segment};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep_until};
 
-use crate::header::{self, DATAGRAM_LIMIT};
 use crate::instance::Instance;
 
+/// The largest packet in bytes, with room beyond what platforms use today.
+const PACKET_LIMIT: usize = 2_048;
 /// Packets that are handled before other tasks get their turn.
 const BATCH: usize = 64;
 
+/// How packets are written on the wire.
+pub trait PacketFormat {
+    /// Reads a client's packet; `None` if it cannot be read.
+    fn decode(&self, packet: &[u8]) -> Option<Segment>;
+
+    /// Writes the datagram that carries a client's packet to a target.
+    fn encode_forward(&self, forward: &Forward, packet: &[u8], datagram: &mut Vec<u8>);
+
+    /// Writes a packet that ends a flow for its client.
+    fn encode_reset(&self, flow: &FlowKey, sequence: u32, packet: &mut Vec<u8>);
+}
+
 /// Receives and forwards packets until the process ends.
-pub async fn run(socket: UdpSocket, instance: Rc<Instance>) {
-    let mut packet = vec![0; DATAGRAM_LIMIT];
+pub async fn run<F: PacketFormat>(socket: UdpSocket, format: F, instance: Rc<Instance>) {
+    let mut packet = vec![0; PACKET_LIMIT];
     let mut sender = Sender {
         socket,
-        datagram: Vec::with_capacity(DATAGRAM_LIMIT),
+        format,
+        datagram: Vec::with_capacity(PACKET_LIMIT),
         instance,
     };
     loop {
@@ -51,13 +65,14 @@
     }
 }
 
-struct Sender {
+struct Sender<F> {
     socket: UdpSocket,
+    format: F,
     datagram: Vec<u8>,
     instance: Rc<Instance>,
 }
 
-impl Sender {
+impl<F: PacketFormat> Sender<F> {
     /// Handles a batch of packets. Returns whether nothing more has arrived.
     fn receive(&mut self, packet: &mut [u8]) -> bool {
         for _ in 0..BATCH {
@@ -77,7 +92,7 @@
     fn handle(&mut self, packet: &[u8]) {
         let counters = &self.instance.reporter.counters;
         counters.packets_received.increment();
-        let Some(segment) = header::decode(packet) else {
+        let Some(segment) = self.format.decode(packet) else {
             counters.packets_malformed.increment();
             return;
         };
@@ -108,7 +123,8 @@
     }
 
     fn forward(&mut self, forward: &Forward, packet: &[u8]) {
-        header::encode_forward(forward, packet, &mut self.datagram);
+        self.format
+            .encode_forward(forward, packet, &mut self.datagram);
         self.instance
             .reporter
             .counters
@@ -117,10 +133,11 @@
         self.send(&self.datagram, forward.address);
     }
 
-    fn reset(&self, flow: &FlowKey, sequence: u32) {
+    fn reset(&mut self, flow: &FlowKey, sequence: u32) {
         let port = self.instance.settings.clients.port();
         let client = SocketAddrV4::new(*flow.client.ip(), port);
-        self.send(&header::encode_reset(flow, sequence), client);
+        self.format.encode_reset(flow, sequence, &mut self.datagram);
+        self.send(&self.datagram, client);
     }
 
     fn send(&self, datagram: &[u8], address: SocketAddrV4) {
--- a/platform/src/error.rs
+++ b/crates/forwarder/src/error.rs
@@ -1,18 +1,12 @@
 use std::fmt::Display;
 use std::net::SocketAddrV4;
 
-/// The result of an operation of the adapter.
+/// The result of an operation of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// An error at the border to the platform.
+/// An error of the instance's surroundings.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// A target's entry cannot be used; no other entry is affected.
-    #[error("the entry is not usable: {0}")]
-    Entry(String),
-    /// A configuration cannot be used; the one in force stays.
-    #[error("the configuration is not usable: {0}")]
-    Config(String),
     /// The store or a peer cannot be reached, or has not answered in time.
     #[error("{address} cannot be reached: {detail}")]
     Unreachable {
@@ -52,22 +46,14 @@
 }
 
 impl Error {
-    /// Creates an [`Error::Entry`].
-    pub fn entry(detail: impl Display) -> Self {
-        Self::Entry(detail.to_string())
-    }
-
-    /// Creates an [`Error::Config`].
-    pub fn config(detail: impl Display) -> Self {
-        Self::Config(detail.to_string())
-    }
-
     /// Creates an [`Error::Answer`].
+    #[must_use]
     pub fn answer(detail: impl Display) -> Self {
         Self::Answer(detail.to_string())
     }
 
     /// Creates an [`Error::Unreachable`].
+    #[must_use]
     pub fn unreachable(address: SocketAddrV4, detail: impl Display) -> Self {
         Self::Unreachable {
             address,
--- a/platform/src/http.rs
+++ b/crates/forwarder/src/http.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::error::{Error, Result};
+use crate::{Error, Result};
 
 /// Time that a new connection may take. A lost first packet is repeated by the system only after
 /// a second, so a new attempt is faster.
@@ -38,6 +38,7 @@
 
 impl HttpClient {
     /// Creates a client; it connects with its first call.
+    #[must_use]
     pub const fn new(address: SocketAddrV4) -> Self {
         Self {
             address,
@@ -46,11 +47,16 @@
     }
 
     /// Returns the server's address.
+    #[must_use]
     pub const fn address(&self) -> SocketAddrV4 {
         self.address
     }
 
     /// Makes a call that may take `limit`. A failed call ends the connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unreachable`] without an answer in time.
     pub async fn get(&mut self, path: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
         // Taken out, so that a call that is given up also gives the connection up.
         let connection = match self.connection.take() {
--- a/platform/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -10,9 +10,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::error::{Error, Result};
 use crate::http::HttpClient;
 use crate::instance::Instance;
+use crate::{Error, Result};
 
 /// The largest beacon in bytes.
 const BEACON_LIMIT: usize = 60_000;
--- a/platform/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -6,13 +6,12 @@
 use rand::RngExt as _;
 use slog::{info, warn};
 use tanager_core::FastSet;
-use tanager_forward::{Change, Role, TargetNumber};
+use tanager_forward::{Change, Role, RouteTable, TargetNumber};
 use tokio::time::sleep;
 
-use crate::error::{Error, Result};
 use crate::instance::Instance;
-use crate::published::{self, CONFIG_KEY, TARGET_PREFIX};
-use crate::store::{Item, Partial, StoreClient};
+use crate::source::{Publication, Source};
+use crate::{Error, Result};
 
 /// How long a watch waits for a change. Bounds the time in which a silent connection is noticed.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
@@ -32,11 +31,10 @@
 const PROBE_PAUSE: Duration = Duration::from_secs(3);
 
 /// Reads the store until the process ends.
-pub async fn run(instance: Rc<Instance>) {
+pub async fn run<S: Source>(instance: Rc<Instance>) {
     let mut reader = Reader {
-        store: StoreClient::new(instance.store.get()),
+        store: S::connect(instance.store.get()),
         whole: false,
-        partial: Partial::default(),
         failures: 0,
         instance,
     };
@@ -50,22 +48,20 @@
     }
 }
 
-struct Reader {
+struct Reader<S> {
     instance: Rc<Instance>,
-    store: StoreClient,
+    store: S,
     /// Whether everything has to be read although a view is known.
     whole: bool,
-    /// Pages that were read before a call failed.
-    partial: Partial,
     /// Failed calls in a row.
     failures: u32,
 }
 
-impl Reader {
+impl<S: Source> Reader<S> {
     fn follow_settings(&mut self) {
         let address = self.instance.store.get();
         if address != self.store.address() {
-            self.store = StoreClient::new(address);
+            self.store = S::connect(address);
         }
     }
 
@@ -99,19 +95,15 @@
 
     async fn read_all(&mut self) -> Result<bool> {
         let begun = self.instance.now();
-        while self.store.read_page(&mut self.partial).await? {
-            if self.partial.pages >= PAGES_ALONE && self.peer_reads().await {
-                self.partial = Partial::default();
+        while self.store.read_page().await? {
+            if self.store.pages() >= PAGES_ALONE && self.peer_reads().await {
+                drop(self.store.take_reading());
                 return Ok(false);
             }
         }
-        let reading = std::mem::take(&mut self.partial).reading;
-        let listed: FastSet<TargetNumber> = reading
-            .items
-            .iter()
-            .filter_map(|item| published::target_number(&item.key))
-            .collect();
+        let reading = self.store.take_reading();
         let (count, revision) = (reading.items.len(), reading.revision);
+        let listed: FastSet<TargetNumber> = reading.items.iter().filter_map(target_of).collect();
         self.apply(reading.items);
         let now = self.instance.now();
         let mut forwarder = self.instance.forwarder.borrow_mut();
@@ -141,70 +133,55 @@
         false
     }
 
-    fn apply(&self, items: Vec<Item>) {
+    fn apply(&self, items: Vec<Publication>) {
         for item in items {
-            if item.key == CONFIG_KEY {
-                self.apply_config(&item);
-            } else if item.key.starts_with(TARGET_PREFIX) {
-                self.apply_target(&item);
+            match item {
+                Publication::Target(change) => self.apply_target(change),
+                Publication::Routes(routes) => self.apply_routes(routes),
+                Publication::Unusable {
+                    key,
+                    revision,
+                    target,
+                    reason,
+                } => {
+                    self.instance.reporter.counters.entries_skipped.increment();
+                    warn!(self.instance.reporter.log, "[store] entry skipped"; "key" => key,
+                        "revision" => revision, "error" => reason);
+                    // It no longer says anything of the target that it named.
+                    if let Some(number) = target {
+                        self.apply_target(Change {
+                            number,
+                            revision,
+                            target: None,
+                            removed: true,
+                        });
+                    }
+                }
             }
         }
     }
 
-    fn apply_config(&self, item: &Item) {
-        let Some(value) = &item.value else {
-            return;
-        };
-        let log = &self.instance.reporter.log;
-        match published::decode_config(item.revision, value) {
-            Ok(routes) => {
-                let (version, count) = (routes.version, routes.len());
-                if self.instance.forwarder.borrow_mut().apply_routes(routes) {
-                    info!(log, "[catalogue] routes in force"; "config" => version,
-                        "routes" => count, "revision" => item.revision);
-                }
-            }
-            Err(error) => self.skip(item, &error),
+    fn apply_routes(&self, routes: RouteTable) {
+        let (version, count, revision) = (routes.version, routes.len(), routes.revision);
+        if self.instance.forwarder.borrow_mut().apply_routes(routes) {
+            info!(self.instance.reporter.log, "[catalogue] routes in force"; "config" => version,
+                "routes" => count, "revision" => revision);
         }
     }
 
-    fn apply_target(&self, item: &Item) {
-        let Some(number) = published::target_number(&item.key) else {
-            self.skip(item, &Error::entry("the key names no target"));
-            return;
-        };
-        let target = match &item.value {
-            None => None,
-            Some(value) => match published::decode_target(number, value) {
-                Ok(target) => Some(target),
-                Err(error) => {
-                    self.skip(item, &error);
-                    None
-                }
-            },
-        };
-        let revision = item.revision;
-        let log = &self.instance.reporter.log;
-        let state = target.as_ref().map(|t| format!("{:?}", t.state));
-        let change = Change {
-            number,
-            revision,
-            removed: target.is_none(),
-            target,
+    fn apply_target(&self, change: Change) {
+        let (number, revision) = (change.number, change.revision);
+        let state = match &change.target {
+            Some(target) if !change.removed => format!("{:?}", target.state),
+            _ => "removed".to_owned(),
         };
         let now = self.instance.now();
         if self.instance.forwarder.borrow_mut().apply(change, now) {
-            info!(log, "[catalogue] target changed"; "target" => %number,
-                "state" => state.unwrap_or_else(|| "removed".to_owned()), "revision" => revision);
+            info!(self.instance.reporter.log, "[catalogue] target changed"; "target" => %number,
+                "state" => state, "revision" => revision);
         }
     }
 
-    fn skip(&self, item: &Item, error: &Error) {
-        self.instance.reporter.counters.entries_skipped.increment();
-        warn!(self.instance.reporter.log, "[store] entry skipped"; "key" => &item.key,
-            "revision" => item.revision, "error" => %error);
-    }
-
     /// Notes how a call went and waits until the next one.
     async fn settle(&mut self, outcome: Result<bool>) {
         let calls = self.store.take_calls();
@@ -236,6 +213,15 @@
     }
 }
 
+/// Returns the target that a publication names, usable or not.
+fn target_of(item: &Publication) -> Option<TargetNumber> {
+    match item {
+        Publication::Target(change) => Some(change.number),
+        Publication::Unusable { target, .. } => *target,
+        Publication::Routes(_) => None,
+    }
+}
+
 /// Returns the pause after some failures in a row, with a random part so that instances do not
 /// call together.
 fn failure_pause(failures: u32) -> Duration {
--- a/platform/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -12,7 +12,7 @@
 use tanagerproxy::settings::LogSettings;
 use tanagerproxy::telemetry::{Counter, Exporter, Log};
 
-use crate::error::{Error, Result};
+use crate::{Error, Result};
 
 /// Lines a second about the first choice for a flow, of which there is one for each flow.
 const PLACED_RATE: u32 = 40;
