Split the forwarder by kind of packet, and let repeated packets be trials

The new tests of vanished targets found two faults: a repeated packet never served as the trial that shows whether a lost target is back, since each miss put the trial off; and a leaf that learns of a restarted target from a peer judged it by its former life.

Ruled out: the expiry of misses after 3 s, which ended the first fault late but did end it.

Change: forwarder/open.rs and carry.rs, membership/loads.rs; only the first miss puts the trial off; a merged view clears what was seen of a former life.

--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -113,6 +113,8 @@
         let record = self.records.entry(target).or_default();
         if record.misses == 0 {
             record.first_miss = now;
+            // Packets under way tell enough for now.
+            record.last_trial = now;
         }
         record.misses += 1;
         if record.last_flow != Some(flow) {
@@ -120,8 +122,6 @@
             record.last_flow = Some(flow);
         }
         record.last_miss = now;
-        // The first packet after this tells whether it is back, so it waits its turn.
-        record.last_trial = record.last_trial.max(now);
     }
 
     /// Forgets what was seen of a target, as when it was started again.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -1,3 +1,6 @@
+mod carry;
+mod open;
+
 use std::time::Duration;
 
 use rand::SeedableRng as _;
@@ -5,26 +8,19 @@
 use tanager_core::{Millis, ServiceName, ZoneName};
 
 use crate::evidence::Evidence;
-use crate::flows::{Flow, Flows};
+use crate::flows::Flows;
 use crate::held::Held;
 use crate::load::Loads;
-use crate::opening::{ANSWER_TIME, Openings, TRIES};
+use crate::opening::Openings;
 use crate::place::{Choice, Placement};
 use crate::view::View;
 use crate::{
-    Action, Change, Cookie, Delta, DropReason, Due, Event, FlowKey, Forward, Kind, LoadReport,
-    ResetReason, RouteTable, Segment, SegmentKind, Standing, TargetNumber,
+    Action, Change, Cookie, Delta, DropReason, Due, Event, FlowKey, Forward, LoadReport,
+    ResetReason, RouteTable, Segment, SegmentKind, TargetNumber,
 };
 
-/// A view that is this old may lack a route, so packets without one are dropped, not reset.
-const VIEW_FRESH: Duration = Duration::from_millis(2_500);
-/// Time after a draining target's removal from which its flows are reset.
-const GONE_AFTER: Duration = Duration::from_millis(500);
 /// Time without a sign of life of any target after which the fault is likely on this side.
 const DEAF_AFTER: Duration = Duration::from_secs(1);
-/// Time after which data that comes again was repeated, and not overtaken on its way. Clients wait
-/// 200 ms.
-const RESEND_TIME: Duration = Duration::from_millis(150);
 /// Events kept for the log at most between two calls of [`Forwarder::take_events`].
 const EVENT_LIMIT: usize = 1_000;
 /// Idle time after which a flow is forgotten when no configuration says it.
@@ -134,7 +130,18 @@
 
     /// Takes over a peer's newer view. Returns the changed targets.
     pub fn merge(&mut self, delta: Delta, now: Millis) -> Vec<TargetNumber> {
-        self.view.merge(delta, now)
+        let lives: Vec<_> = delta
+            .changes
+            .iter()
+            .filter_map(|c| Some((c.number, self.view.get(c.number)?.target.incarnation)))
+            .collect();
+        let changed = self.view.merge(delta, now);
+        for (number, before) in lives {
+            if self.view.get(number).map(|k| k.target.incarnation) != Some(before) {
+                self.evidence.clear(number);
+            }
+        }
+        changed
     }
 
     /// Decides about a client's packet.
@@ -189,26 +196,6 @@
         due
     }
 
-    fn replace_silent(&mut self, due: &mut Vec<Due>, now: Millis) {
-        while let Some(key) = self.openings.take_due(now) {
-            let Some(opening) = self.openings.get(&key) else {
-                continue;
-            };
-            let (packet, tries) = (opening.packet.clone(), opening.tried.len());
-            self.doubt_opening(&key, now);
-            if tries >= TRIES {
-                continue;
-            }
-            if let Some(forward) = self.replace(&key, now) {
-                due.push(Due {
-                    flow: key,
-                    action: Action::Forward(forward),
-                    packet,
-                });
-            }
-        }
-    }
-
     /// Ends what is over: idle flows, unanswered requests, targets that left long ago.
     pub fn sweep(&mut self, now: Millis) {
         let idle = self.view.routes().idle_timeout;
@@ -278,226 +265,6 @@
         }
     }
 
-    fn open(
-        &mut self,
-        segment: &Segment,
-        packet: &[u8],
-        now: Millis,
-    ) -> Result<Action, DropReason> {
-        if let Some(action) = self.copy_of_open(segment, now) {
-            return action;
-        }
-        let key = segment.flow;
-        let Some(service) = self.service(&key) else {
-            return self.refuse_unrouted(key, now);
-        };
-        let Some(choice) = self.choose(&service, &[], now) else {
-            return Ok(self.reset(key, None, ResetReason::NoTarget, 0));
-        };
-        if let Some(old) = self.flows.remove(&key) {
-            self.loads
-                .close(old.target, !old.open, old.is_running(), now);
-        }
-        let flow = Flow::opening(choice.target, segment, now);
-        if self.flows.insert(key, flow) {
-            self.loads.open(choice.target, now);
-            self.openings.start(key, packet, choice.target, now);
-        }
-        self.note_placed(key, service, choice, 0);
-        self.forward(choice.target)
-    }
-
-    /// Handles a packet that repeats the opening of a flow that is known here.
-    fn copy_of_open(
-        &mut self,
-        segment: &Segment,
-        now: Millis,
-    ) -> Option<Result<Action, DropReason>> {
-        let key = segment.flow;
-        let flow = self.flows.get_mut(&key)?;
-        if flow.first_sequence != segment.sequence || flow.finished {
-            return None;
-        }
-        flow.seen = now;
-        let target = flow.target;
-        if flow.open {
-            return Some(self.forward(target));
-        }
-        let waited = self.openings.get(&key).map(|o| now.since(o.sent));
-        if waited.is_some_and(|time| time < ANSWER_TIME) {
-            return Some(self.forward(target));
-        }
-        self.evidence.miss(target, key, now);
-        match self.replace(&key, now) {
-            Some(forward) => Some(Ok(Action::Forward(forward))),
-            None => Some(self.forward(target)),
-        }
-    }
-
-    /// Sends a flow that is being opened to another target.
-    fn replace(&mut self, key: &FlowKey, now: Millis) -> Option<Forward> {
-        let service = self.service(key)?;
-        let tried = self.openings.get(key)?.tried.clone();
-        let choice = self.choose(&service, &tried, now)?;
-        let flow = self.flows.get_mut(key)?;
-        self.loads.close(flow.target, true, false, now);
-        flow.target = choice.target;
-        self.loads.open(choice.target, now);
-        self.openings.retry(*key, choice.target, now);
-        let attempt = u8::try_from(tried.len()).unwrap_or(u8::MAX);
-        self.note_placed(*key, service, choice, attempt);
-        match self.forward(choice.target) {
-            Ok(Action::Forward(forward)) => Some(forward),
-            _ => None,
-        }
-    }
-
-    /// Notes that a flow's target has not answered the opening for a while.
-    fn doubt_opening(&mut self, key: &FlowKey, now: Millis) {
-        let Some(opening) = self.openings.get(key) else {
-            return;
-        };
-        if opening.tried.len() < TRIES {
-            let target = opening.tried[opening.tried.len() - 1];
-            self.evidence.doubt(target, now);
-            return;
-        }
-        // So many targets are not silent at once: the client goes on elsewhere, or has left.
-        for target in &opening.tried {
-            self.evidence.trust(*target);
-        }
-    }
-
-    /// Handles a packet of a flow that the client holds open.
-    fn carry(&mut self, segment: &Segment, now: Millis) -> Result<Action, DropReason> {
-        let key = segment.flow;
-        if !self.flows.get(&key).is_some_and(|f| f.open) {
-            self.bind(segment, now)?;
-        }
-        let Some(target) = self.flows.get(&key).map(|f| f.target) else {
-            // The table is full: the cookie alone leads the packet.
-            return match self.view.find(segment.cookie) {
-                Some(known) => self.forward(known.target.number),
-                None => Err(DropReason::UnknownTarget),
-            };
-        };
-        self.observe(segment, now);
-        if segment.kind == SegmentKind::Data
-            && segment.length > 0
-            && let Some(reason) = self.reset_reason(&key, target, now)
-        {
-            self.forget(&key, now);
-            return Ok(self.reset(key, Some(target), reason, segment.acknowledged));
-        }
-        match segment.kind {
-            SegmentKind::Abort => self.forget(&key, now),
-            SegmentKind::Finish => {
-                if let Some(flow) = self.flows.get_mut(&key) {
-                    flow.finished = true;
-                }
-            }
-            _ => {}
-        }
-        self.forward(target)
-    }
-
-    /// Finds the target of a flow whose first packet after the opening has come.
-    fn bind(&mut self, segment: &Segment, now: Millis) -> Result<(), DropReason> {
-        let key = segment.flow;
-        let named = self.view.find(segment.cookie).map(|k| k.target.number);
-        let Some(flow) = self.flows.get_mut(&key) else {
-            let target = match (segment.cookie, named) {
-                (Cookie::NONE, _) => return Err(DropReason::NoCookie),
-                (_, None) => return Err(DropReason::UnknownTarget),
-                (_, Some(target)) => target,
-            };
-            if self.flows.insert(key, Flow::adopted(target, segment, now)) {
-                self.loads.adopt(target, now);
-            }
-            return Ok(());
-        };
-        // The client knows whose answer it has taken; it may be an earlier choice.
-        let target = named.unwrap_or(flow.target);
-        if target != flow.target {
-            self.loads.close(flow.target, true, false, now);
-            self.loads.open(target, now);
-            flow.target = target;
-        }
-        flow.open = true;
-        flow.acknowledged = segment.acknowledged;
-        self.loads.opened(target, now);
-        self.openings.finish(&key);
-        if segment.kind != SegmentKind::Abort {
-            self.evidence.alive(target, now);
-        }
-        Ok(())
-    }
-
-    /// Learns from a packet how its flow's target does.
-    fn observe(&mut self, segment: &Segment, now: Millis) {
-        let key = segment.flow;
-        let Some(flow) = self.flows.get_mut(&key) else {
-            return;
-        };
-        flow.seen = now;
-        let target = flow.target;
-        if is_after(segment.acknowledged, flow.acknowledged) {
-            flow.acknowledged = segment.acknowledged;
-            self.evidence.alive(target, now);
-            if let Some(request) = flow.request.take()
-                && request.counted
-            {
-                let time = now.since(request.begun);
-                self.loads.end(target, Some(time), now);
-                if self.answer_times.len() < EVENT_LIMIT {
-                    self.answer_times.push(time);
-                }
-            }
-        }
-        if segment.length == 0 {
-            return;
-        }
-        let end = segment.sequence.wrapping_add(u32::from(segment.length));
-        if is_after(end, flow.sent) {
-            flow.sent = end;
-            if flow.request.is_none() {
-                self.flows.begin(key, now);
-                self.loads.begin(target, now);
-            }
-        } else if let Some(request) = flow.request
-            && now.since(request.begun) >= RESEND_TIME
-        {
-            self.evidence.miss(target, key, now);
-        }
-    }
-
-    /// Returns why a flow with a request under way should end now, if it should.
-    fn reset_reason(
-        &mut self,
-        key: &FlowKey,
-        target: TargetNumber,
-        now: Millis,
-    ) -> Option<ResetReason> {
-        let known = self.view.get(target)?;
-        let removed = known.removed;
-        let quiet_since = |at: Millis| self.evidence.last_alive(target).is_none_or(|l| l < at);
-        if known.has_left()
-            && removed.is_some_and(|at| now.since(at) >= GONE_AFTER && quiet_since(at))
-        {
-            return Some(ResetReason::TargetGone);
-        }
-        if self.evidence.standing(target, now) != Standing::Lost || self.is_deaf(now) {
-            return None;
-        }
-        // A request that must not run twice may still be answered while its target is listed.
-        let kind = self.view.routes().find(key.service).map(|r| r.kind);
-        if kind != Some(Kind::Idempotent) && removed.is_none() {
-            return None;
-        }
-        let trial = self.evidence.take_trial(target, now);
-        (!trial).then_some(ResetReason::TargetLost)
-    }
-
     fn service(&self, key: &FlowKey) -> Option<ServiceName> {
         let route = self.view.routes().find(key.service)?;
         route.service(key).cloned()
@@ -519,14 +286,6 @@
         placement.choose(service, tried, &mut self.rng)
     }
 
-    fn refuse_unrouted(&mut self, key: FlowKey, now: Millis) -> Result<Action, DropReason> {
-        let fresh = self.view_age(now).is_some_and(|age| age <= VIEW_FRESH);
-        if fresh && !self.view.routes().is_empty() {
-            return Ok(self.reset(key, None, ResetReason::NoRoute, 0));
-        }
-        Err(DropReason::NoRoutes)
-    }
-
     fn forward(&self, target: TargetNumber) -> Result<Action, DropReason> {
         let known = self.view.get(target).ok_or(DropReason::UnknownTarget)?;
         Ok(Action::Forward(Forward {
@@ -585,9 +344,3 @@
         }
     }
 }
-
-/// Returns whether a position in a wrapping stream is after another one.
-const fn is_after(position: u32, other: u32) -> bool {
-    let distance = position.wrapping_sub(other);
-    distance != 0 && distance < 1 << 31
-}
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -28,7 +28,7 @@
 pub use evidence::{Standing, StandingChange};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
-pub use membership::{BEACON_INTERVAL, LoadSums, Member, Membership, Role, Self_};
+pub use membership::{BEACON_INTERVAL, LoadSums, Member, Membership, OwnInstance, Role};
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
 pub use target::{Cookie, Target, TargetNumber, TargetState};
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -5,12 +5,15 @@
 //! their zone and to the other hubs. An instance that hears from no hub is one itself, so every
 //! part of a divided fleet has hubs. Two hubs in a zone are harmless.
 
+mod loads;
+
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use tanager_core::{FastMap, Incarnation, Millis};
 
-use crate::{Beacon, Cookie, LoadReport, MemberReport};
+use crate::{Beacon, LoadReport, MemberReport};
+pub use loads::LoadSums;
 
 /// Time between two beacons.
 pub const BEACON_INTERVAL: Duration = Duration::from_millis(400);
@@ -22,8 +25,6 @@
 const FOREIGN_MEMBERS: usize = 2;
 /// How long a hub's reading may be in doubt before the next instance reads, too.
 const VIEW_DOUBT: Duration = Duration::from_millis(2_200);
-/// Loads of one beacon at most; in larger fleets the busiest targets are reported.
-const LOAD_LIMIT: usize = 128;
 /// Members of the own zone that a beacon names at most. The first of them take over as hub.
 const MEMBER_LIMIT: usize = 16;
 /// Time between two beacons to a seed, which also joins the parts of a divided fleet again.
@@ -31,7 +32,7 @@
 
 /// The instance itself.
 #[derive(Debug, Clone, Copy)]
-pub struct Self_ {
+pub struct OwnInstance {
     /// Where it receives beacons.
     pub address: SocketAddrV4,
     /// This life of it.
@@ -82,7 +83,7 @@
 /// What is known of the other instances.
 #[derive(Debug)]
 pub struct Membership {
-    own: Self_,
+    own: OwnInstance,
     seeds: Vec<SocketAddrV4>,
     next_seed: usize,
     seeded: Option<Millis>,
@@ -96,7 +97,7 @@
 impl Membership {
     /// Creates the membership of an instance that knows only seeds.
     #[must_use]
-    pub fn new(own: Self_, seeds: Vec<SocketAddrV4>) -> Self {
+    pub fn new(own: OwnInstance, seeds: Vec<SocketAddrV4>) -> Self {
         let mut membership = Self {
             own,
             seeds: Vec::new(),
@@ -339,69 +340,6 @@
             loads,
         }
     }
-
-    /// Returns the load that a hub speaks for: its zone's, for its zone also the other zones'.
-    fn summed(&self, own_loads: &[LoadReport], all_zones: bool, now: Millis) -> Vec<LoadReport> {
-        let mut sums = self.sum(now, |m| all_zones || m.zone == self.own.zone);
-        add(&mut sums, own_loads, 1.0);
-        let report = |(cookie, (busy, flows)): (Cookie, (f64, f64))| {
-            #[expect(
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "a sum of counts"
-            )]
-            LoadReport::new(cookie, busy, flows.max(0.0) as u32)
-        };
-        let mut loads: Vec<_> = sums.into_iter().map(report).collect();
-        if loads.len() > LOAD_LIMIT {
-            loads.sort_unstable_by(|a, b| b.busy().total_cmp(&a.busy()));
-            loads.truncate(LOAD_LIMIT);
-        }
-        loads
-    }
-
-    /// Adds up what members reported for themselves or their zone.
-    fn sum(&self, now: Millis, counts: impl Fn(&Member) -> bool) -> LoadSums {
-        let mut sums = LoadSums::default();
-        for member in self.members.values().filter(|m| counts(m)) {
-            let Some(direct) = &member.direct else {
-                continue;
-            };
-            // A second hub of the own zone speaks for the same instances again.
-            let speaks_twice = direct.hub && member.zone == self.own.zone;
-            if !speaks_twice && now.since(direct.heard) <= MEMBER_LIFETIME {
-                add(&mut sums, &direct.loads, 1.0);
-            }
-        }
-        sums
-    }
-
-    /// Returns the load of all instances but this one, as far as it was reported lately.
-    #[must_use]
-    pub fn loads_of_others(&self, role: Role, now: Millis) -> LoadSums {
-        if role == Role::Hub {
-            return self.sum(now, |_| true);
-        }
-        let mut sums = LoadSums::default();
-        let own = self.members.values().filter(|m| m.zone == self.own.zone);
-        let hubs = own.filter_map(|m| m.direct.as_ref()).filter(|d| d.hub);
-        if let Some(hub) = hubs.max_by_key(|d| d.heard) {
-            add(&mut sums, &hub.loads, 1.0);
-            add(&mut sums, &self.reported, -1.0);
-        }
-        sums
-    }
-}
-
-/// Running requests and flows by target.
-pub type LoadSums = FastMap<Cookie, (f64, f64)>;
-
-fn add(sums: &mut LoadSums, loads: &[LoadReport], factor: f64) {
-    for load in loads {
-        let sum = sums.entry(load.cookie).or_default();
-        sum.0 = (sum.0 + load.busy() * factor).max(0.0);
-        sum.1 = (sum.1 + f64::from(load.flows()) * factor).max(0.0);
-    }
 }
 
 /// Larger instances rank first; addresses decide between equal ones.
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -8,7 +8,7 @@
 
 use common::at;
 use tanager_core::{Incarnation, Millis};
-use tanager_forward::{Cookie, LoadReport, Membership, Role, Self_};
+use tanager_forward::{Cookie, LoadReport, Membership, OwnInstance, Role};
 
 /// A view age that casts no doubt.
 const FRESH: Option<Duration> = Some(Duration::from_millis(500));
@@ -18,7 +18,7 @@
 }
 
 fn member(host: u8, zone: u8, capacity: u16) -> Membership {
-    let own = Self_ {
+    let own = OwnInstance {
         address: address(host),
         incarnation: Incarnation::new(u64::from(host)),
         zone,
--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt as _;
 use tanager_core::{Clock, Incarnation, Millis};
-use tanager_forward::{Forwarder, Membership, Role, Self_};
+use tanager_forward::{Forwarder, Membership, OwnInstance, Role};
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::sync::Notify;
 
@@ -41,7 +41,7 @@
 impl Instance {
     /// Creates an instance that knows nothing yet.
     pub fn new(settings: ForwarderSettings, clock: Clock, reporter: Reporter) -> Rc<Self> {
-        let own = Self_ {
+        let own = OwnInstance {
             address: settings.beacons,
             incarnation: Incarnation::random(),
             zone: zone_position(&settings),
