Limit open connections, and split requests from their table

Change: Acceptor in the library takes at most a given number of connections and is used by status, peers and the forwarder's pages; execution/request.rs holds the types of a request; one heartbeat fixture. Test accept_tests.rs.

--- a/crates/forwarder/src/pages.rs
+++ b/crates/forwarder/src/pages.rs
@@ -11,10 +11,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::warn;
+use tanagerproxy::accept::Acceptor;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 use crate::instance::Instance;
 
@@ -22,8 +21,6 @@
 const REQUEST_LIMIT: Duration = Duration::from_secs(10);
 /// Connections that are served at the same time on one address.
 const CONNECTION_LIMIT: usize = 256;
-/// Pause after a connection could not be accepted, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Which pages an address serves.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -38,27 +35,13 @@
 
 /// Serves pages until the process ends, one task for each connection.
 pub async fn serve(listener: TcpListener, pages: Pages, instance: Rc<Instance>) {
-    let permits = Rc::new(Semaphore::new(CONNECTION_LIMIT));
+    let acceptor = Acceptor::new(listener, CONNECTION_LIMIT);
     loop {
-        let accepted = listener.accept().await;
-        let (stream, _) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                warn!(instance.reporter.log, "[status] cannot accept"; "error" => %error);
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if Rc::clone(&permits).available_permits() == 0 {
-            warn!(instance.reporter.log, "[status] connection refused";
-                "limit" => CONNECTION_LIMIT);
-            continue;
-        }
-        let (permits, instance) = (Rc::clone(&permits), Rc::clone(&instance));
+        let (stream, permit) = acceptor.next().await;
+        let instance = Rc::clone(&instance);
         drop(spawn_local(async move {
-            if let Ok(_permit) = permits.acquire().await {
-                serve_connection(stream, pages, instance).await;
-            }
+            serve_connection(stream, pages, instance).await;
+            drop(permit);
         }));
     }
 }
--- a/crates/proxy/src/execution/mod.rs
+++ b/crates/proxy/src/execution/mod.rs
@@ -5,15 +5,14 @@
 mod executor;
 mod expiry;
 mod pause;
+mod request;
 mod retry;
 mod table;
 
 pub use executor::{Execution, Requests};
 pub use pause::{PauseGuard, Refresh};
-pub use table::{
-    Arrival, DEADLINE_LIMIT, Ending, KEEP_AFTER_DEADLINE, Lookup, RequestKey, RequestTable,
-    TableLimits,
-};
+pub use request::{Arrival, Ending, Lookup, RequestKey};
+pub use table::{DEADLINE_LIMIT, KEEP_AFTER_DEADLINE, RequestTable, TableLimits};
 
 #[cfg(test)]
 mod executor_tests;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Node`] assembles the modules. The daemon only reads settings, starts a node and waits for
 //! the signal to stop.
 
+pub mod accept;
 pub mod admission;
 pub mod catalogue;
 pub mod execution;
@@ -25,3 +26,6 @@
 pub use error::{Error, Result};
 pub use identity::Identity;
 pub use node::Node;
+
+#[cfg(test)]
+mod accept_tests;
--- a/crates/proxy/src/membership/gossip_tests.rs
+++ b/crates/proxy/src/membership/gossip_tests.rs
@@ -15,7 +15,8 @@
 
 const CATALOGUE: &str = "revision: 7\nowners: []\nentries: []\n";
 
-fn heartbeat(name: &str, zone: &str, address: SocketAddr) -> Heartbeat {
+/// Returns the heartbeat of a live instance that has read nothing.
+pub(super) fn heartbeat(name: &str, zone: &str, address: SocketAddr) -> Heartbeat {
     Heartbeat {
         name: name.parse().expect("name"),
         incarnation: Incarnation::random(),
--- a/crates/proxy/src/membership/tests.rs
+++ b/crates/proxy/src/membership/tests.rs
@@ -3,7 +3,7 @@
 
 use tanager_core::{Incarnation, ResultCode, Revision};
 
-use crate::membership::{InstanceState, MEMBERS_LIMIT, Member, Membership, Watching};
+use crate::membership::{InstanceState, MEMBERS_LIMIT, Member, Membership, Watching, gossip_tests};
 use crate::peer::Heartbeat;
 use crate::{Error, Identity};
 
@@ -24,20 +24,10 @@
 
 fn heartbeat(number: u64, incarnation: u64, state: InstanceState) -> Heartbeat {
     Heartbeat {
-        name: format!("node-{number}").parse().expect("name"),
         incarnation: Incarnation::new(incarnation),
-        zone: "a".parse().expect("zone"),
-        region: "addis".parse().expect("region"),
-        address: address(number),
         state,
         revision: Revision::new(1),
-        digest: [0; 16],
-        list: Revision::new(0),
-        rows: 0,
-        usage: Vec::new(),
-        members: Vec::new(),
-        demand: Vec::new(),
-        loans: Vec::new(),
+        ..gossip_tests::heartbeat(&format!("node-{number}"), "a", address(number))
     }
 }
 
--- a/crates/proxy/src/peer/server.rs
+++ b/crates/proxy/src/peer/server.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::accept::Acceptor;
 use crate::catalogue::{DocumentReply, DocumentRequest};
 use crate::peer::service::Peer;
 use crate::peer::{Heartbeat, RelayReply, Relayed};
@@ -18,6 +19,10 @@
 /// close idle connections, and ends those whose client vanished without a word.
 const IDLE_LIMIT: Duration = Duration::from_secs(90);
 
+/// Connections that are served at the same time: one of each peer of the largest fleet, and as
+/// many again of former lives that have not been noticed as gone.
+const CONNECTION_LIMIT: usize = 1_400;
+
 /// Answers calls of other instances.
 pub trait PeerHandler: Send + Sync + 'static {
     /// Takes a peer's heartbeat and returns the own one.
@@ -47,12 +52,14 @@
 
 /// Serves connections of other instances, one task for each.
 pub async fn serve(listener: TcpListener, handler: Arc<dyn PeerHandler>) {
+    let acceptor = Acceptor::new(listener, CONNECTION_LIMIT);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&handler)))),
-            // Accept fails for a moment when the process has no free file descriptor.
-            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
-        }
+        let (stream, permit) = acceptor.next().await;
+        let handler = Arc::clone(&handler);
+        drop(tokio::spawn(async move {
+            serve_connection(stream, handler).await;
+            drop(permit);
+        }));
     }
 }
 
--- a/crates/proxy/src/status/server.rs
+++ b/crates/proxy/src/status/server.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::Node;
+use crate::accept::Acceptor;
 use crate::status::explain::Question;
 use crate::status::metrics;
 use crate::status::{StatusPage, UsagePage};
@@ -20,6 +21,9 @@
 /// client vanished without a word.
 const REQUEST_LIMIT: Duration = Duration::from_secs(5);
 
+/// Connections that are served at the same time: operators and a few collectors.
+const CONNECTION_LIMIT: usize = 256;
+
 /// What the pages are made from.
 struct Pages {
     node: Arc<Node>,
@@ -37,11 +41,14 @@
         node,
         metrics: metrics.ok(),
     });
+    let acceptor = Acceptor::new(listener, CONNECTION_LIMIT);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(tokio::spawn(serve_connection(stream, Arc::clone(&pages)))),
-            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
-        }
+        let (stream, permit) = acceptor.next().await;
+        let pages = Arc::clone(&pages);
+        drop(tokio::spawn(async move {
+            serve_connection(stream, pages).await;
+            drop(permit);
+        }));
     }
 }
 
