Give up readings that grow old, and confirm views only by views

Cause: read-through of the change. A reading of all pages that a peer's view had made needless, or that ended with lost history, went on later at its old page; packets given up after waiting were all logged as of an unknown target; before the first reading a view counted as confirmed by peers that had none (age 1,000 s in the log); views were read across zones when the own zone had the same.

Change: such readings begin anew; a held packet keeps its reason; only peers with a view confirm one; a peer of the own zone is preferred. Test a_peer_without_a_view_confirms_nothing failed before.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -154,7 +154,7 @@
         };
         decided.unwrap_or_else(|reason| match reason {
             DropReason::UnknownTarget | DropReason::NoRoutes
-                if self.held.push(segment, packet, now) =>
+                if self.held.push(segment, packet, reason, now) =>
             {
                 Action::Wait
             }
@@ -177,7 +177,7 @@
 
     fn release_held(&mut self, now: Millis) -> Vec<Due> {
         for expired in self.held.take_expired(now) {
-            self.drop_packet(&expired.segment, DropReason::UnknownTarget);
+            self.drop_packet(&expired.segment, expired.reason);
         }
         let seen = self.view.generation();
         if seen == self.held_at {
--- a/crates/forward/src/held.rs
+++ b/crates/forward/src/held.rs
@@ -6,7 +6,7 @@
 
 use tanager_core::Millis;
 
-use crate::Segment;
+use crate::{DropReason, Segment};
 
 /// Time for which a packet waits. Its sender repeats it after 200 ms and longer.
 const HOLD_LIMIT: Duration = Duration::from_millis(400);
@@ -20,6 +20,8 @@
     pub segment: Segment,
     /// The packet as the client sent it.
     pub packet: Vec<u8>,
+    /// What is missing to forward it.
+    pub reason: DropReason,
     /// When it came.
     pub since: Millis,
 }
@@ -33,12 +35,19 @@
 
 impl Held {
     /// Keeps a packet. Returns whether there was room.
-    pub fn push(&mut self, segment: &Segment, packet: &[u8], now: Millis) -> bool {
+    pub fn push(
+        &mut self,
+        segment: &Segment,
+        packet: &[u8],
+        reason: DropReason,
+        now: Millis,
+    ) -> bool {
         let room = self.packets.len() < HOLD_COUNT;
         if room {
             self.packets.push_back(HeldPacket {
                 segment: *segment,
                 packet: packet.to_vec(),
+                reason,
                 since: now,
             });
         }
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -218,18 +218,21 @@
     pub fn newer_view(&self, revision: u64, now: Millis) -> Option<SocketAddrV4> {
         let direct = |(address, m): (&SocketAddrV4, &Member)| {
             let direct = m.direct.as_ref()?;
-            (direct.revision > revision).then_some((direct.revision, *address))
+            // Of equal views, one of the own zone costs less to read.
+            let near = m.zone == self.own.zone;
+            (direct.revision > revision).then_some((direct.revision, near, *address))
         };
         let newest = self.present(now).filter_map(direct).max();
-        newest.map(|(_, address)| address)
+        newest.map(|(_, _, address)| address)
     }
 
-    /// Returns the latest time at which a peer's view was complete that had this revision.
+    /// Returns the latest time at which a peer's view was complete that is no newer than this
+    /// revision. A view of this revision was complete at that time, too.
     #[must_use]
     pub fn verified(&self, revision: u64) -> Option<Millis> {
         let direct = self.members.values().filter_map(|m| m.direct.as_ref());
-        let same = direct.filter(|d| d.revision <= revision);
-        same.map(|d| d.verified).max()
+        let covered = direct.filter(|d| d.revision > 0 && d.revision <= revision);
+        covered.map(|d| d.verified).max()
     }
 
     /// Returns the number of other instances that were heard from lately.
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -146,3 +146,17 @@
         assert!(recipients.contains(&address(host)), "{recipients:?}");
     }
 }
+
+/// Guards against a view that counts as confirmed by a peer that has read nothing: log lines told
+/// an age of 1,000 s instead of none.
+#[test]
+fn a_peer_without_a_view_confirms_nothing() {
+    let mut started = member(1, 0, 500);
+    let mut other = member(2, 0, 38);
+    let beacon = started.beacon(address(2), Role::Hub, (0, None), &[], at(0));
+
+    other.hear(&beacon, at(10));
+
+    assert_eq!(other.verified(5), None);
+    assert_eq!(other.newer_view(0, at(10)), None);
+}
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -118,6 +118,7 @@
         if self.whole || revision == 0 {
             return self.read_all().await;
         }
+        self.restart_reading();
         let begun = self.instance.now();
         let reading = self.store.watch(revision, WATCH_WAIT).await?;
         let changed = !reading.items.is_empty();
@@ -150,8 +151,7 @@
                 break;
             }
             if pages >= PAGES_ALONE && self.peer_reads().await {
-                self.partial = None;
-                self.store.rewind();
+                self.restart_reading();
                 return Ok(false);
             }
         }
@@ -159,6 +159,13 @@
         Ok(true)
     }
 
+    /// Gives up a reading of everything that is not complete: its first pages grow old.
+    fn restart_reading(&mut self) {
+        if self.partial.take().is_some() {
+            self.store.rewind();
+        }
+    }
+
     /// Takes a reading as complete.
     fn finish_reading(&mut self) {
         let Some(whole) = self.partial.take() else {
@@ -263,6 +270,7 @@
             Err(Error::HistoryGone(revision)) => {
                 info!(reporter.log, "[store] history gone"; "revision" => revision);
                 self.whole = true;
+                self.restart_reading();
             }
             Err(error) => {
                 reporter.store(Err(&error));
