End abandoned openings, and write one beacon for all receivers of a kind

Cause: read-through of the whole change. - An opening that no target answered and whose client went away was never forgotten: only its flow was. After 20,000 of them no further opening was kept and no silent target replaced. The mean answer time and the total of flows were kept and never read.

Change: a flow that ends, however, ends its opening (one function); the view says whether a change is a restart; Change has constructors; a beacon is written once for the own zone and once for others; dead state is removed. No other behaviour changes, no bound or assertion does.

--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -113,12 +113,12 @@
     }
 
     /// Forgets flows that are over or have been idle for `idle`, and returns them.
-    pub fn expire(&mut self, idle: Duration, now: Millis) -> Vec<Flow> {
+    pub fn expire(&mut self, idle: Duration, now: Millis) -> Vec<(FlowKey, Flow)> {
         let over = |_: &FlowKey, flow: &mut Flow| {
             let age = now.since(flow.seen);
             age > idle || (flow.finished && age > FINISHED_LIFETIME)
         };
-        self.flows.extract_if(over).map(|(_, flow)| flow).collect()
+        self.flows.extract_if(over).collect()
     }
 
     /// Notes that a request of a flow began.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -8,12 +8,12 @@
 use tanager_core::{Millis, ServiceName, ZoneName};
 
 use crate::evidence::Evidence;
-use crate::flows::Flows;
+use crate::flows::{Flow, Flows};
 use crate::held::Held;
 use crate::load::Loads;
 use crate::opening::Openings;
 use crate::place::{Choice, Placement};
-use crate::view::View;
+use crate::view::{News, View};
 use crate::{
     Action, Change, Cookie, Delta, DropReason, Due, Event, FlowKey, Forward, LoadReport,
     ResetReason, RouteTable, Segment, SegmentKind, TargetNumber,
@@ -99,13 +99,9 @@
     /// Takes over a published change of one target. Returns whether it was news.
     pub fn apply(&mut self, change: Change, now: Millis) -> bool {
         let number = change.number;
-        let life = |view: &View| view.get(number).map(|k| k.target.incarnation);
-        let before = life(&self.view);
         let news = self.view.apply(change, now);
-        if news && life(&self.view) != before {
-            self.evidence.clear(number);
-        }
-        news
+        self.learn(number, news);
+        news != News::Old
     }
 
     /// Takes over published routes. Returns whether they were news.
@@ -130,18 +126,18 @@
 
     /// Takes over a peer's newer view. Returns the changed targets.
     pub fn merge(&mut self, delta: Delta, now: Millis) -> Vec<TargetNumber> {
-        let lives: Vec<_> = delta
-            .changes
-            .iter()
-            .filter_map(|c| Some((c.number, self.view.get(c.number)?.target.incarnation)))
-            .collect();
         let changed = self.view.merge(delta, now);
-        for (number, before) in lives {
-            if self.view.get(number).map(|k| k.target.incarnation) != Some(before) {
-                self.evidence.clear(number);
-            }
+        for (number, news) in &changed {
+            self.learn(*number, *news);
+        }
+        changed.into_iter().map(|(number, _)| number).collect()
+    }
+
+    /// Forgets what was seen of a target's former life.
+    fn learn(&mut self, number: TargetNumber, news: News) {
+        if news == News::Restarted {
+            self.evidence.clear(number);
         }
-        changed
     }
 
     /// Decides about a client's packet.
@@ -200,9 +196,8 @@
     pub fn sweep(&mut self, now: Millis) {
         let idle = self.view.routes().idle_timeout;
         let idle = if idle.is_zero() { DEFAULT_IDLE } else { idle };
-        for flow in self.flows.expire(idle, now) {
-            self.loads
-                .close(flow.target, !flow.open, flow.is_running(), now);
+        for (key, flow) in self.flows.expire(idle, now) {
+            self.release(&key, &flow, now);
         }
         self.end_overdue(now);
         self.view.expire(now);
@@ -214,7 +209,7 @@
     /// Ends the load of requests that have most likely been answered.
     fn end_overdue(&mut self, now: Millis) {
         while let Some(target) = self.flows.take_overdue(now) {
-            self.loads.end(target, None, now);
+            self.loads.end(target, now);
         }
     }
 
@@ -258,7 +253,7 @@
         let (suspect, lost) = self.evidence.count(now);
         Gauges {
             flows: self.flows.len(),
-            waiting: self.loads.totals().0 as usize,
+            waiting: self.loads.waiting() as usize,
             targets: self.view.present().count(),
             suspect,
             lost,
@@ -286,13 +281,13 @@
         placement.choose(service, tried, &mut self.rng)
     }
 
-    fn forward(&self, target: TargetNumber) -> Result<Action, DropReason> {
+    fn forward(&self, target: TargetNumber) -> Result<Forward, DropReason> {
         let known = self.view.get(target).ok_or(DropReason::UnknownTarget)?;
-        Ok(Action::Forward(Forward {
+        Ok(Forward {
             address: known.target.address,
             target,
             cookie: target.cookie(),
-        }))
+        })
     }
 
     fn reset(
@@ -320,13 +315,18 @@
     }
 
     fn forget(&mut self, key: &FlowKey, now: Millis) {
-        self.openings.finish(key);
         if let Some(flow) = self.flows.remove(key) {
-            self.loads
-                .close(flow.target, !flow.open, flow.is_running(), now);
+            self.release(key, &flow, now);
         }
     }
 
+    /// Ends what a flow that is no longer remembered stood for.
+    fn release(&mut self, key: &FlowKey, flow: &Flow, now: Millis) {
+        self.openings.finish(key);
+        self.loads
+            .close(flow.target, !flow.open, flow.is_running(), now);
+    }
+
     fn note_placed(&mut self, flow: FlowKey, service: ServiceName, choice: Choice, attempt: u8) {
         self.note(Event::Placed {
             flow,
--- a/crates/forward/src/forwarder/carry.rs
+++ b/crates/forward/src/forwarder/carry.rs
@@ -27,7 +27,7 @@
         let Some(target) = self.flows.get(&key).map(|f| f.target) else {
             // The table is full: the cookie alone leads the packet.
             return match self.view.find(segment.cookie) {
-                Some(known) => self.forward(known.target.number),
+                Some(known) => self.forward(known.target.number).map(Action::Forward),
                 None => Err(DropReason::UnknownTarget),
             };
         };
@@ -48,7 +48,7 @@
             }
             _ => {}
         }
-        self.forward(target)
+        self.forward(target).map(Action::Forward)
     }
 
     /// Finds the target of a flow whose first packet after the opening has come.
@@ -98,7 +98,7 @@
                 && request.counted
             {
                 let time = now.since(request.begun);
-                self.loads.end(target, Some(time), now);
+                self.loads.end(target, now);
                 if self.answer_times.len() < EVENT_LIMIT {
                     self.answer_times.push(time);
                 }
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -20,8 +20,8 @@
         packet: &[u8],
         now: Millis,
     ) -> Result<Action, DropReason> {
-        if let Some(action) = self.copy_of_open(segment, now) {
-            return action;
+        if let Some(forward) = self.copy_of_open(segment, now) {
+            return forward.map(Action::Forward);
         }
         let key = segment.flow;
         let Some(service) = self.service(&key) else {
@@ -30,17 +30,14 @@
         let Some(choice) = self.choose(&service, &[], now) else {
             return Ok(self.reset(key, None, ResetReason::NoTarget, 0));
         };
-        if let Some(old) = self.flows.remove(&key) {
-            self.loads
-                .close(old.target, !old.open, old.is_running(), now);
-        }
+        self.forget(&key, now);
         let flow = Flow::opening(choice.target, segment, now);
         if self.flows.insert(key, flow) {
             self.loads.open(choice.target, now);
             self.openings.start(key, packet, choice.target, now);
         }
         self.note_placed(key, service, choice, 0);
-        self.forward(choice.target)
+        self.forward(choice.target).map(Action::Forward)
     }
 
     /// Handles a packet that repeats the opening of a flow that is known here.
@@ -48,7 +45,7 @@
         &mut self,
         segment: &Segment,
         now: Millis,
-    ) -> Option<Result<Action, DropReason>> {
+    ) -> Option<Result<Forward, DropReason>> {
         let key = segment.flow;
         let flow = self.flows.get_mut(&key)?;
         if flow.first_sequence != segment.sequence || flow.finished {
@@ -64,10 +61,8 @@
             return Some(self.forward(target));
         }
         self.evidence.miss(target, key, now);
-        match self.replace(&key, now) {
-            Some(forward) => Some(Ok(Action::Forward(forward))),
-            None => Some(self.forward(target)),
-        }
+        let replaced = self.replace(&key, now);
+        Some(replaced.map_or_else(|| self.forward(target), Ok))
     }
 
     /// Sends a flow that is being opened to another target.
@@ -82,10 +77,7 @@
         self.openings.retry(*key, choice.target, now);
         let attempt = u8::try_from(tried.len()).unwrap_or(u8::MAX);
         self.note_placed(*key, service, choice, attempt);
-        match self.forward(choice.target) {
-            Ok(Action::Forward(forward)) => Some(forward),
-            _ => None,
-        }
+        self.forward(choice.target).ok()
     }
 
     /// Notes that a flow's target has not answered the opening for a while.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,4 +32,4 @@
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
 pub use target::{Cookie, Target, TargetNumber, TargetState};
-pub use view::{Change, Delta, Known, View};
+pub use view::{Change, Delta, Known, News, View};
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -9,8 +9,6 @@
 
 /// Time over which the mean number of running requests is taken.
 const AVERAGE_TIME: Duration = Duration::from_secs(1);
-/// Weight of a new answer time in its mean.
-const ANSWER_WEIGHT: f64 = 0.1;
 /// Reports of peers older than this are not used.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
@@ -25,8 +23,6 @@
     /// Mean of `waiting` over [`AVERAGE_TIME`], as of `averaged`.
     busy: f64,
     averaged: Millis,
-    /// Mean time to an answer in milliseconds; 0 before the first.
-    answer: f64,
 }
 
 impl Own {
@@ -55,8 +51,6 @@
     pub others: f64,
     /// Flows of all instances, also idle ones.
     pub flows: f64,
-    /// Mean time to an answer in milliseconds; 0 if not known.
-    pub answer: f64,
 }
 
 /// The load of all targets.
@@ -107,15 +101,10 @@
         self.change(target, now, |own| own.waiting += 1);
     }
 
-    /// Counts the end of a request, with its time if it was answered.
-    pub fn end(&mut self, target: TargetNumber, time: Option<Duration>, now: Millis) {
+    /// Counts the end of a request.
+    pub fn end(&mut self, target: TargetNumber, now: Millis) {
         self.change(target, now, |own| {
             own.waiting = own.waiting.saturating_sub(1);
-            if let Some(time) = time {
-                let millis = time.as_secs_f64() * 1_000.0;
-                let weight = if own.answer > 0.0 { ANSWER_WEIGHT } else { 1.0 };
-                own.answer += (millis.max(1.0) - own.answer) * weight;
-            }
         });
     }
 
@@ -129,7 +118,6 @@
             running: own.map_or(0.0, |o| f64::from(o.waiting + o.opening)),
             others: others.map_or(0.0, |o| o.busy),
             flows: own_flows + others.map_or(0.0, |o| o.flows),
-            answer: own.map_or(0.0, |o| o.answer),
         }
     }
 
@@ -155,10 +143,9 @@
         self.others.insert(target, others);
     }
 
-    /// Returns the own requests without an answer and the own flows.
-    pub fn totals(&self) -> (u32, u32) {
-        let own = self.own.values();
-        own.fold((0, 0), |(w, f), o| (w + o.waiting, f + o.flows))
+    /// Returns the own requests without an answer.
+    pub fn waiting(&self) -> u32 {
+        self.own.values().map(|o| o.waiting).sum()
     }
 
     /// Forgets targets that are not known any more.
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -254,7 +254,7 @@
     pub fn recipients(&mut self, role: Role, searching: bool, now: Millis) -> Vec<SocketAddrV4> {
         let mut recipients = match role {
             Role::Hub if !searching => self.hub_recipients(now),
-            _ => self.best(self.own.zone, 1, now),
+            _ => self.first(self.own.zone, now).into_iter().collect(),
         };
         let due = self.seeded.is_none_or(|at| now.since(at) >= SEED_INTERVAL);
         let seeds = if searching {
@@ -279,7 +279,7 @@
         let own = self.present(now).filter(|(_, m)| m.zone == self.own.zone);
         let mut recipients: Vec<_> = own.map(|(address, _)| *address).collect();
         for zone in self.foreign_zones(now) {
-            recipients.extend(self.best(zone, 1, now));
+            recipients.extend(self.first(zone, now));
         }
         recipients
     }
@@ -292,15 +292,21 @@
         zones
     }
 
-    /// Returns the highest ranked members of a zone that can read the store.
-    fn best(&self, zone: u8, count: usize, now: Millis) -> Vec<SocketAddrV4> {
+    /// Returns the highest ranked members of a zone, those that can read the store first.
+    fn best(&self, zone: u8, count: usize, now: Millis) -> Vec<(SocketAddrV4, &Member)> {
         let members = self.present(now).filter(|(_, m)| m.zone == zone);
-        let mut ranked: Vec<_> = members
-            .map(|(address, m)| (m.reads, rank(*address, m.capacity), *address))
-            .collect();
-        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let mut ranked: Vec<_> = members.map(|(address, m)| (*address, m)).collect();
+        ranked.sort_unstable_by_key(|(address, m)| {
+            std::cmp::Reverse((m.reads, rank(*address, m.capacity), *address))
+        });
         ranked.truncate(count);
-        ranked.into_iter().map(|(_, _, address)| address).collect()
+        ranked
+    }
+
+    /// Returns the highest ranked member of a zone.
+    fn first(&self, zone: u8, now: Millis) -> Option<SocketAddrV4> {
+        let best = self.best(zone, 1, now);
+        best.first().map(|(address, _)| *address)
     }
 
     /// Returns the members that a receiver should know.
@@ -309,14 +315,21 @@
         let foreign = self.foreign_zones(now);
         let foreign = foreign.iter().map(|zone| (*zone, FOREIGN_MEMBERS));
         for (zone, count) in foreign.chain([(self.own.zone, MEMBER_LIMIT)]) {
-            let best = self.best(zone, count, now);
-            let known = best.iter().filter_map(|a| Some((*a, self.members.get(a)?)));
-            reports.extend(known.map(|(address, m)| report(address, m, now)));
+            let best = self.best(zone, count, now).into_iter();
+            reports.extend(best.map(|(address, m)| report(address, m, now)));
         }
         reports
     }
 
-    /// Creates a beacon for one receiver. `own_loads` are those of this instance alone.
+    /// Returns whether a receiver is known to be in the own zone.
+    #[must_use]
+    pub fn is_near(&self, to: SocketAddrV4) -> bool {
+        let member = self.members.get(&to);
+        member.is_some_and(|m| m.zone == self.own.zone)
+    }
+
+    /// Creates a beacon for a receiver. It is the same for all receivers of the own zone, and for
+    /// all others. `own_loads` are those of this instance alone.
     pub fn beacon(
         &mut self,
         to: SocketAddrV4,
@@ -326,16 +339,12 @@
         now: Millis,
     ) -> Beacon {
         let age = view_age.map_or(u128::from(u32::MAX), |age| age.as_millis());
-        let same_zone = self
-            .members
-            .get(&to)
-            .is_some_and(|m| m.zone == self.own.zone);
         let loads = match role {
             Role::Leaf => {
                 self.reported = own_loads.to_vec();
                 own_loads.to_vec()
             }
-            Role::Hub => self.summed(own_loads, same_zone, now),
+            Role::Hub => self.summed(own_loads, self.is_near(to), now),
         };
         Beacon {
             from: self.own.address,
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -64,13 +64,12 @@
         let takes =
             |k: &&Known| k.target.service == *service && k.target.state == TargetState::Ready;
         let candidates: Vec<_> = self.view.present().filter(takes).collect();
-        let mean = self.mean_flows(&candidates);
         let fresh = candidates
             .iter()
             .copied()
             .filter(|k| !tried.contains(&k.target.number));
         let least = |best: Option<(f64, TargetNumber)>, k: &Known| {
-            let load = self.load(k, mean);
+            let load = self.load(k, &candidates);
             match best {
                 Some((least, _)) if least <= load => best,
                 _ => Some((load, k.target.number)),
@@ -81,7 +80,7 @@
             // All were tried: the last one may just be slow.
             candidates
                 .last()
-                .map(|k| (self.load(k, mean), k.target.number))
+                .map(|k| (self.load(k, &candidates), k.target.number))
         })?;
         Some(Choice {
             target,
@@ -117,13 +116,14 @@
         sum / count
     }
 
-    fn load(&self, known: &Known, mean_flows: f64) -> f64 {
+    /// Returns a target's load over its slots, compared with the other targets of its service.
+    fn load(&self, known: &Known, service: &[&Known]) -> f64 {
         let target = &known.target;
         let load = self.loads.get(target.number, self.now);
         let cold = known.warmup(self.now) > Duration::ZERO;
         // A target without flows would otherwise draw all new ones while it is slow.
         let flows = if cold {
-            load.flows.max(mean_flows)
+            load.flows.max(self.mean_flows(service))
         } else {
             load.flows
         };
--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
 use tanager_core::{FastMap, Millis};
 
 use crate::{Cookie, RouteTable, Target, TargetNumber, TargetState};
@@ -23,6 +23,41 @@
     pub removed: bool,
 }
 
+impl Change {
+    /// Creates the publication of a target.
+    #[must_use]
+    pub const fn published(target: Target, revision: u64) -> Self {
+        Self {
+            number: target.number,
+            revision,
+            target: Some(target),
+            removed: false,
+        }
+    }
+
+    /// Creates the removal of a target of which only the number is known.
+    #[must_use]
+    pub const fn removal(number: TargetNumber, revision: u64) -> Self {
+        Self {
+            number,
+            revision,
+            target: None,
+            removed: true,
+        }
+    }
+}
+
+/// What a change told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// Nothing: something as new was known.
+    Old,
+    /// Something new.
+    Changed,
+    /// That the target lives anew and knows nothing of before.
+    Restarted,
+}
+
 /// The difference between two revisions of the view, for a peer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
@@ -130,18 +165,22 @@
         self.targets.values()
     }
 
-    /// Takes over one entry unless a newer one is known. Returns whether it was news.
-    pub fn apply(&mut self, change: Change, now: Millis) -> bool {
+    /// Takes over one entry unless a newer one is known.
+    pub fn apply(&mut self, change: Change, now: Millis) -> News {
         let known = self.targets.get_mut(&change.number);
         if known
             .as_ref()
             .is_some_and(|k| k.revision >= change.revision)
         {
-            return false;
+            return News::Old;
         }
+        let mut news = News::Changed;
         let removed = change.removed.then_some(now);
         match (known, change.target) {
             (Some(known), Some(target)) if !change.removed => {
+                if known.target.incarnation != target.incarnation {
+                    news = News::Restarted;
+                }
                 *known = Known {
                     target,
                     revision: change.revision,
@@ -164,10 +203,10 @@
                 };
                 self.targets.insert(number, known);
             }
-            (None, None) => return false,
+            (None, None) => return News::Old,
         }
         self.generation += 1;
-        true
+        news
     }
 
     /// Takes over routes unless newer ones are in force. Returns whether they were news.
@@ -225,17 +264,19 @@
         }
     }
 
-    /// Takes over what a peer sent. Returns the numbers of changed targets.
-    pub fn merge(&mut self, delta: Delta, now: Millis) -> Vec<TargetNumber> {
+    /// Takes over what a peer sent. Returns the changed targets.
+    pub fn merge(&mut self, delta: Delta, now: Millis) -> Vec<(TargetNumber, News)> {
         let mut changed = Vec::new();
         if delta.whole {
             let listed: Vec<_> = delta.changes.iter().map(|c| c.number).collect();
-            changed = self.retain(|n| listed.contains(&n), delta.revision, now);
+            let gone = self.retain(|n| listed.contains(&n), delta.revision, now);
+            changed.extend(gone.into_iter().map(|number| (number, News::Changed)));
         }
         for change in delta.changes {
             let number = change.number;
-            if self.apply(change, now) {
-                changed.push(number);
+            let news = self.apply(change, now);
+            if news != News::Old {
+                changed.push((number, news));
             }
         }
         if let Some(routes) = delta.routes {
--- /dev/null
+++ b/crates/forward/tests/abandoned_openings.rs
@@ -0,0 +1,27 @@
+//! Pattern: clients open flows that no target answers, and go away.
+
+mod common;
+
+use common::{Client, FEED_PORT, at, forwarder};
+
+/// Openings that an instance keeps at most, with room for a few more.
+const OPENINGS: u16 = 20_100;
+
+/// Guards against openings that are kept for ever: once as many as may be kept had gone
+/// unanswered, no silent target was replaced any more.
+#[test]
+fn silent_targets_are_replaced_after_many_abandoned_openings() {
+    let mut forwarder = forwarder(3);
+    for port in 0..OPENINGS {
+        Client::new(port, FEED_PORT).opening(&mut forwarder, 0, at(0));
+    }
+    for round in 1..5 {
+        forwarder.take_due(at(100 * round));
+    }
+    forwarder.sweep(at(60_000));
+
+    Client::new(40_000, FEED_PORT).opening(&mut forwarder, 0, at(60_010));
+    let due = forwarder.take_due(at(60_100));
+
+    assert_eq!(due.len(), 1, "the silent target is not replaced");
+}
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -45,21 +45,11 @@
 }
 
 pub fn published(target: Target, revision: u64) -> Change {
-    Change {
-        number: target.number,
-        revision,
-        target: Some(target),
-        removed: false,
-    }
+    Change::published(target, revision)
 }
 
 pub fn removed(number: u64, revision: u64) -> Change {
-    Change {
-        number: TargetNumber::new(number),
-        revision,
-        target: None,
-        removed: true,
-    }
+    Change::removal(TargetNumber::new(number), revision)
 }
 
 pub fn route(port: u16, kind: Kind, service_name: &str) -> Route {
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -73,12 +73,18 @@
     let mut membership = instance.membership.borrow_mut();
     let recipients = membership.recipients(role, searching, now);
     drop(membership);
-    for to in recipients {
-        send(socket, instance, to, role);
-    }
+    let (near, far): (Vec<_>, Vec<_>) = recipients
+        .into_iter()
+        .partition(|to| instance.membership.borrow().is_near(*to));
+    send(socket, instance, &near, role);
+    send(socket, instance, &far, role);
 }
 
-fn send(socket: &UdpSocket, instance: &Instance, to: SocketAddrV4, role: Role) {
+/// Sends one beacon to receivers that are all in the own zone, or all not known to be.
+fn send(socket: &UdpSocket, instance: &Instance, receivers: &[SocketAddrV4], role: Role) {
+    let Some(first) = receivers.first() else {
+        return;
+    };
     let now = instance.now();
     let (view, loads) = {
         let mut forwarder = instance.forwarder.borrow_mut();
@@ -86,17 +92,19 @@
         (view, forwarder.load_report(now))
     };
     let mut membership = instance.membership.borrow_mut();
-    let beacon = membership.beacon(to, role, view, &loads, now);
-    let sent = postcard::to_stdvec(&beacon)
-        .map_err(|e| e.to_string())
-        .and_then(|bytes| {
-            let sent = socket.try_send_to(&bytes, to.into());
-            sent.map_err(|e| e.to_string())
-        });
-    match sent {
-        Ok(_) => instance.reporter.counters.beacons_sent.increment(),
+    let beacon = membership.beacon(*first, role, view, &loads, now);
+    let log = &instance.reporter.log;
+    let bytes = match postcard::to_stdvec(&beacon) {
+        Ok(bytes) => bytes,
         Err(error) => {
-            slog::debug!(instance.reporter.log, "[peer] send failed"; "error" => &error);
+            warn!(log, "[peer] beacon not written"; "error" => %error);
+            return;
+        }
+    };
+    for to in receivers {
+        match socket.try_send_to(&bytes, (*to).into()) {
+            Ok(_) => instance.reporter.counters.beacons_sent.increment(),
+            Err(error) => slog::debug!(log, "[peer] send failed"; "error" => %error),
         }
     }
 }
@@ -126,7 +134,7 @@
         info!(instance.reporter.log, "[membership] instance heard";
             "instance" => %beacon.from, "incarnation" => %beacon.incarnation,
             "hub" => beacon.hub, "revision" => beacon.revision);
-        send(socket, instance, beacon.from, role);
+        send(socket, instance, &[beacon.from], role);
     }
     if role == Role::Leaf && beacon.hub {
         take_loads(instance, role);
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -215,13 +215,7 @@
                         "revision" => revision, "error" => reason);
                     // It no longer says anything of the target that it named.
                     if let Some(number) = target {
-                        let change = Change {
-                            number,
-                            revision,
-                            target: None,
-                            removed: true,
-                        };
-                        self.apply_target(change, detail);
+                        self.apply_target(Change::removal(number, revision), detail);
                     }
                 }
             }
