Share the page server and the counters with the library

Change: tanagerproxy::http serves one connection and writes a page of text; the macro counters! takes a name and is exported; the exporter takes all counters of a struct. Limits, names and texts of pages and metrics stay as they are.

--- a/crates/forward/tests/cold_start.rs
+++ b/crates/forward/tests/cold_start.rs
@@ -6,7 +6,7 @@
 use tanager_forward::{Action, Forwarder, TargetNumber};
 
 /// Guards against dropping what comes between the start and the first reading, which clients
-/// repeat up to 1.6 s later (66 to 77 packets after the last fault of abay-buzz days).
+/// repeat up to 1.6 s later (66 to 77 packets after the last fault).
 #[test]
 fn packets_before_the_first_view_are_sent_with_it() {
     let mut before = forwarder(2);
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -133,7 +133,7 @@
 }
 
 /// Guards against an instance of a large fleet that asks one seed every 400 ms for a view while
-/// clients wait (abay-buzz-grown inc-ed53: 0.54 s from the start to the first view).
+/// clients wait (0.54 s from the start to the first view).
 #[test]
 fn an_instance_without_a_view_asks_all_seeds_and_its_hub() {
     let mut started = member(9, 0, 38);
--- a/crates/forward/tests/many_instances.rs
+++ b/crates/forward/tests/many_instances.rs
@@ -33,7 +33,7 @@
 }
 
 /// Guards against all instances choosing the one idle target until they hear of each other: it
-/// got 20 to 50 flows in 100 ms and refused most of them (abay-buzz-grown quiet-1).
+/// got 20 to 50 flows in 100 ms and refused most of them.
 #[test]
 fn an_idle_target_is_not_flooded_before_its_load_is_reported() {
     let mut placed = 0;
--- a/crates/forward/tests/moved_clients.rs
+++ b/crates/forward/tests/moved_clients.rs
@@ -15,7 +15,7 @@
 }
 
 /// Guards against taking targets as lost whose clients acknowledged through another instance,
-/// which reset sound flows (abay-buzz, hunt-1711-7: FLOW 11).
+/// which reset sound flows.
 #[test]
 fn openings_that_go_on_elsewhere_reset_no_flow() {
     let mut forwarder = forwarder(1);
--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -40,7 +40,7 @@
 }
 
 /// Guards against each instance filling a new target before it hears of the others' work there:
-/// none may give a cold target more requests at once than it has slots (abay-buzz scale-2).
+/// none may give a cold target more requests at once than it has slots.
 #[test]
 fn one_instance_fills_no_cold_target_beyond_its_slots() {
     let mut forwarder = releasing();
--- a/crates/forward/tests/reordered_requests.rs
+++ b/crates/forward/tests/reordered_requests.rs
@@ -6,7 +6,7 @@
 use tanager_forward::{Action, Event, Standing};
 
 /// Guards against taking packets that overtook each other for repeated ones, which made sound
-/// targets count as silent and reset their flows (kps-sorting, scale-2).
+/// targets count as silent and reset their flows.
 #[test]
 fn overtaken_packets_are_no_evidence_against_a_target() {
     let mut forwarder = forwarder(1);
--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -122,8 +122,7 @@
     pub fn publish_gauges(&self) {
         let gauges = self.forwarder.borrow().gauges(self.now());
         let peers = self.membership.borrow().count(self.now());
-        let counters = &self.reporter.counters;
-        counters.set_gauges(&gauges, peers, self.is_ready());
+        self.reporter.levels.set(&gauges, peers, self.is_ready());
     }
 }
 
--- a/crates/forwarder/src/pages.rs
+++ b/crates/forwarder/src/pages.rs
@@ -1,18 +1,15 @@
 //! What other processes read over HTTP: readiness, metrics and this instance's view.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::warn;
 use tanagerproxy::accept::Acceptor;
-use tokio::net::{TcpListener, TcpStream};
+use tanagerproxy::http::{self, Page, text};
+use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
 use crate::instance::Instance;
@@ -40,30 +37,14 @@
         let (stream, permit) = acceptor.next().await;
         let instance = Rc::clone(&instance);
         drop(spawn_local(async move {
-            serve_connection(stream, pages, instance).await;
+            let respond = |request: &Request<Incoming>| respond(request, pages, &instance);
+            http::serve_connection(stream, REQUEST_LIMIT, respond).await;
             drop(permit);
         }));
     }
 }
 
-async fn serve_connection(stream: TcpStream, pages: Pages, instance: Rc<Instance>) {
-    let service = service_fn(move |request| {
-        let response = respond(&request, pages, &instance);
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let mut connection = http1::Builder::new();
-    connection
-        .timer(TokioTimer::new())
-        .header_read_timeout(REQUEST_LIMIT);
-    // A client that closes early is no fault of this instance.
-    drop(
-        connection
-            .serve_connection(TokioIo::new(stream), service)
-            .await,
-    );
-}
-
-fn respond<B>(request: &Request<B>, pages: Pages, instance: &Instance) -> Response<Full<Bytes>> {
+fn respond(request: &Request<Incoming>, pages: Pages, instance: &Instance) -> Page {
     if request.method() != Method::GET {
         return text(StatusCode::METHOD_NOT_ALLOWED, "only GET\n");
     }
@@ -75,7 +56,7 @@
     }
 }
 
-fn ready(instance: &Instance) -> Response<Full<Bytes>> {
+fn ready(instance: &Instance) -> Page {
     if instance.is_ready() {
         text(StatusCode::OK, "ready\n")
     } else {
@@ -83,7 +64,7 @@
     }
 }
 
-fn metrics(instance: &Instance) -> Response<Full<Bytes>> {
+fn metrics(instance: &Instance) -> Page {
     instance.publish_gauges();
     match instance.reporter.metrics() {
         Ok(page) => text(StatusCode::OK, page),
@@ -94,7 +75,7 @@
     }
 }
 
-fn view(query: &str, instance: &Instance) -> Response<Full<Bytes>> {
+fn view(query: &str, instance: &Instance) -> Page {
     let Some(after) = query.strip_prefix("after=").and_then(|n| n.parse().ok()) else {
         return text(StatusCode::BAD_REQUEST, "expected after=REVISION\n");
     };
@@ -107,9 +88,3 @@
         }
     }
 }
-
-fn text(status: StatusCode, body: impl Into<String>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.into())));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -9,8 +9,9 @@
 use slog::{Logger, info, warn};
 use tanager_core::{Clock, Millis};
 use tanager_forward::{Event, Gauges};
+use tanagerproxy::counters;
 use tanagerproxy::settings::LogSettings;
-use tanagerproxy::telemetry::{Counter, Exporter, Log};
+use tanagerproxy::telemetry::{Exporter, Log};
 
 use crate::{Error, Result};
 
@@ -23,66 +24,60 @@
 /// Upper bounds of the histogram of answer times in seconds.
 const ANSWER_BOUNDS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.4, 0.8, 1.6, 3.2];
 
-macro_rules! counters {
-    ($($(#[doc = $doc:literal])+ $name:ident,)+) => {
-        /// Counters and gauges of the process.
-        #[derive(Default)]
-        pub struct Counters {
-            $($(#[doc = $doc])+ pub $name: Counter,)+
-            flows: AtomicU64,
-            waiting: AtomicU64,
-            targets: AtomicU64,
-            suspect: AtomicU64,
-            lost: AtomicU64,
-            peers: AtomicU64,
-            ready: AtomicU64,
-        }
-
-        /// Name and description of each counter, with access to it.
-        const COUNTERS: &[(&str, &str, fn(&Counters) -> &Counter)] = &[
-            $((stringify!($name), concat!($($doc,)+), |c| &c.$name),)+
-        ];
-    };
-}
-
 counters! {
+/// Counters of the process.
+#[derive(Default)]
+pub struct Counters {
     /// Packets received from clients.
-    packets_received,
+    pub packets_received: Counter,
     /// Packets sent to targets.
-    packets_forwarded,
+    pub packets_forwarded: Counter,
     /// Packets that cannot be decoded.
-    packets_malformed,
+    pub packets_malformed: Counter,
     /// Packets that were not forwarded for a reason that the log names.
-    packets_dropped,
+    pub packets_dropped: Counter,
     /// Packets that the network did not take at once.
-    sends_failed,
+    pub sends_failed: Counter,
     /// New flows placed on a target.
-    flows_placed,
+    pub flows_placed: Counter,
     /// Opening packets sent to another target because the first was silent.
-    openings_replaced,
+    pub openings_replaced: Counter,
     /// Flows reset by this instance.
-    flows_reset,
+    pub flows_reset: Counter,
     /// Calls to the store.
-    store_calls,
+    pub store_calls: Counter,
     /// Calls to the store that failed.
-    store_failures,
+    pub store_failures: Counter,
     /// Entries of the store that were skipped as unusable.
-    entries_skipped,
+    pub entries_skipped: Counter,
     /// Views read from peers.
-    views_pulled,
+    pub views_pulled: Counter,
     /// Beacons sent to other instances.
-    beacons_sent,
+    pub beacons_sent: Counter,
     /// Beacons received from other instances.
-    beacons_received,
+    pub beacons_received: Counter,
     /// Beacons that cannot be decoded.
-    beacons_malformed,
+    pub beacons_malformed: Counter,
     /// Log lines left out because there were too many.
-    log_lines_left_out,
+    pub log_lines_left_out: Counter,
+}
 }
 
-impl Counters {
-    /// Sets the gauges.
-    pub fn set_gauges(&self, gauges: &Gauges, peers: usize, ready: bool) {
+/// Numbers that go up and down, as they were last set.
+#[derive(Default)]
+pub struct Levels {
+    flows: AtomicU64,
+    waiting: AtomicU64,
+    targets: AtomicU64,
+    suspect: AtomicU64,
+    lost: AtomicU64,
+    peers: AtomicU64,
+    ready: AtomicU64,
+}
+
+impl Levels {
+    /// Sets all of them.
+    pub fn set(&self, gauges: &Gauges, peers: usize, ready: bool) {
         let set = |gauge: &AtomicU64, value: usize| {
             gauge.store(value as u64, Ordering::Relaxed);
         };
@@ -96,10 +91,10 @@
     }
 }
 
-/// Name, description and access to a gauge.
-type GaugeField = (&'static str, &'static str, fn(&Counters) -> &AtomicU64);
+/// Name, description and access to a level.
+type LevelField = (&'static str, &'static str, fn(&Levels) -> &AtomicU64);
 
-const GAUGES: &[GaugeField] = &[
+const LEVELS: &[LevelField] = &[
     ("flows", "Flows that are remembered.", |c| &c.flows),
     (
         "requests_waiting",
@@ -150,8 +145,10 @@
 pub struct Reporter {
     /// The log; every line is one JSON object.
     pub log: Logger,
-    /// Counters and gauges.
+    /// Counters.
     pub counters: Arc<Counters>,
+    /// Gauges.
+    pub levels: Arc<Levels>,
     exporter: Exporter,
     answers: Histogram<f64>,
     placed: Budget,
@@ -164,16 +161,14 @@
 impl Reporter {
     /// Creates a reporter.
     pub fn try_new(settings: &LogSettings, clock: Clock) -> Result<Self> {
-        let counters = Arc::new(Counters::default());
         let exporter = Exporter::new("forwarder").map_err(|e| Error::Metrics(e.to_string()))?;
-        for (name, description, counter) in COUNTERS {
-            let counters = Arc::clone(&counters);
-            exporter.counter(name, description, move || counter(&counters).get());
-        }
-        for (name, description, gauge) in GAUGES {
-            let counters = Arc::clone(&counters);
+        let counters = Arc::new(Counters::default());
+        exporter.counters(&counters, Counters::ALL);
+        let levels = Arc::new(Levels::default());
+        for (name, description, level) in LEVELS {
+            let levels = Arc::clone(&levels);
             let read = move || {
-                let value = gauge(&counters).load(Ordering::Relaxed);
+                let value = level(&levels).load(Ordering::Relaxed);
                 f64::from(u32::try_from(value).unwrap_or(u32::MAX))
             };
             exporter.gauge(name, description, Box::new(read));
@@ -186,6 +181,7 @@
         Ok(Self {
             log: Log::new(settings, clock).logger().clone(),
             counters,
+            levels,
             exporter,
             answers,
             placed: Budget::new(PLACED_RATE),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalogue;
 pub mod execution;
 pub mod flow;
+pub mod http;
 pub mod ingress;
 pub mod membership;
 pub mod peer;
--- a/crates/proxy/src/status/metrics.rs
+++ b/crates/proxy/src/status/metrics.rs
@@ -16,10 +16,7 @@
     gauges: impl IntoIterator<Item = Gauge>,
 ) -> Result<Exporter, OTelSdkError> {
     let exporter = Exporter::new("tanagerproxy")?;
-    for (name, description, counter) in Counters::ALL {
-        let counters = Arc::clone(counters);
-        exporter.counter(name, description, move || counter(&counters).get());
-    }
+    exporter.counters(counters, Counters::ALL);
     for (name, description, read) in gauges {
         exporter.gauge(name, description, read);
     }
--- a/crates/proxy/src/status/server.rs
+++ b/crates/proxy/src/status/server.rs
@@ -1,17 +1,15 @@
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
 use crate::Node;
 use crate::accept::Acceptor;
+use crate::http::{self, text};
 use crate::status::explain::Question;
 use crate::status::metrics;
 use crate::status::{StatusPage, UsagePage};
@@ -46,27 +44,12 @@
         let (stream, permit) = acceptor.next().await;
         let pages = Arc::clone(&pages);
         drop(tokio::spawn(async move {
-            serve_connection(stream, pages).await;
+            http::serve_connection(stream, REQUEST_LIMIT, |request| pages.respond(request)).await;
             drop(permit);
         }));
     }
 }
 
-async fn serve_connection(stream: TcpStream, pages: Arc<Pages>) {
-    let service = service_fn(move |request| {
-        let response = pages.respond(&request);
-        async move { Ok::<_, Infallible>(response) }
-    });
-    let mut connection = hyper::server::conn::http1::Builder::new();
-    connection
-        .timer(TokioTimer::new())
-        .header_read_timeout(REQUEST_LIMIT);
-    // An operator that closes the connection early is no fault of this instance.
-    let _ = connection
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-}
-
 impl Pages {
     fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
         if request.method() != Method::GET {
@@ -132,9 +115,3 @@
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
     response
 }
-
-fn text(status: StatusCode, body: impl Into<String>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.into())));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/proxy/src/telemetry/exporter.rs
+++ b/crates/proxy/src/telemetry/exporter.rs
@@ -1,8 +1,12 @@
+use std::sync::Arc;
+
 use opentelemetry::metrics::{Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::telemetry::CounterField;
+
 /// Reads the present value of an instrument.
 pub type Read<T> = Box<dyn Fn() -> T + Send + Sync>;
 /// Name, description and value of a gauge.
@@ -39,7 +43,7 @@
     }
 
     /// Adds a counter that is read when the metrics are asked for.
-    pub fn counter(
+    fn counter(
         &self,
         name: &'static str,
         description: &'static str,
@@ -52,6 +56,14 @@
             .build();
     }
 
+    /// Adds all counters of a struct.
+    pub fn counters<T: Send + Sync + 'static>(&self, all: &Arc<T>, fields: &[CounterField<T>]) {
+        for (name, description, counter) in fields {
+            let (all, counter) = (Arc::clone(all), *counter);
+            self.counter(name, description, move || counter(&all).get());
+        }
+    }
+
     /// Adds a gauge that is read when the metrics are asked for.
     pub fn gauge(&self, name: &'static str, description: &'static str, read: Read<f64>) {
         let instrument = self.meter.f64_observable_gauge(name);
--- a/crates/proxy/src/telemetry/metrics.rs
+++ b/crates/proxy/src/telemetry/metrics.rs
@@ -29,30 +29,32 @@
     }
 }
 
+/// Declares a struct of counters and lists them, so that all can be exported.
+#[macro_export]
 macro_rules! counters {
-    ($(#[doc = $type_doc:literal])+ pub struct Counters {
+    ($(#[$type_meta:meta])+ pub struct $type:ident {
         $($(#[doc = $doc:literal])+ pub $name:ident: Counter,)+
     }) => {
-        $(#[doc = $type_doc])+
-        #[derive(Debug, Default, Serialize)]
-        pub struct Counters {
-            $($(#[doc = $doc])+ pub $name: Counter,)+
+        $(#[$type_meta])+
+        pub struct $type {
+            $($(#[doc = $doc])+ pub $name: $crate::telemetry::Counter,)+
         }
 
-        impl Counters {
+        impl $type {
             /// Name and description of each counter, with access to it.
-            pub const ALL: &'static [CounterField] = &[
+            pub const ALL: &'static [$crate::telemetry::CounterField<Self>] = &[
                 $((stringify!($name), concat!($($doc,)+), |c| &c.$name),)+
             ];
         }
     };
 }
 
-/// Name, description and access to one counter.
-pub type CounterField = (&'static str, &'static str, fn(&Counters) -> &Counter);
+/// Name, description and access to one counter of a struct.
+pub type CounterField<T> = (&'static str, &'static str, fn(&T) -> &Counter);
 
 counters! {
 /// Counters of the whole instance, shown by status and metrics.
+#[derive(Debug, Default, Serialize)]
 pub struct Counters {
     /// Datagrams received from callers.
     pub datagrams_received: Counter,
