Replace each port of the demo's files once

The demo replaces the examples' ports by free ones, one sed edit after another. Free ports come from 10000 to 31999, which contains the examples' 22001 to 22408, so an edit could replace a port that an earlier edit had just written, and two targets got one address. About 45 ports are drawn, so about one run in eleven is hit.

Ruled out: a free port that is printed twice (all are held until the last is found).

Conclusion: the demo's addresses are distinct whatever ports are free.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,11 +58,14 @@
 mapfile -t free < <("$bin/standin-platform" --free-ports "${#examples[@]}")
 ((${#free[@]} == ${#examples[@]})) || fail "no free ports"
 declare -A port
+changes=()
 for i in "${!examples[@]}"; do
   port[${examples[i]}]=${free[i]}
-  echo "s/127\.0\.0\.1:${examples[i]}/127.0.0.1:${free[i]}/g" >>"$dir/ports.sed"
+  changes+=("${examples[i]}=${free[i]}")
+done
+for file in examples/*.yaml; do
+  scripts/renumber-ports.sh "${changes[@]}" <"$file" >"$dir/${file##*/}"
 done
-for file in examples/*.yaml; do sed -f "$dir/ports.sed" "$file" >"$dir/${file##*/}"; done
 
 start platform "$bin/standin-platform" --listen "127.0.0.1:${port[22001]}" \
   --catalogue "$dir/catalogue.yaml" --instances "$dir/instances.yaml"
