Avoid targets that fail requests, by what clients acknowledge

Cause: a target that answers its health check and fails requests looked idle, since errors come fast, and kept its share of new flows.

The packets of failing flows show an answer of 150 to 180 bytes against 600 to 5,000 at the 2nd percentile of sound ones; a client that leaves at its deadline sends FIN with nothing acknowledged; a dropped flow goes quiet. Clients acknowledge an answer of one packet within 50 ms.

Ruled out: answer times (errors are faster than answers), probes (priced, and they lie), resetting open flows of such targets (a rule).

Change: forward/health.rs counts failed and ended requests of each target, compares lengths with the median of the route, and fades both over 3 s. Beacons carry both numbers beside the load, failing targets first when a beacon cannot name all. Placement adds load in proportion to the failed part above 0.15. A changed belief is a log line and a gauge.

What is left of a hang is the first 600 ms and the flows that stay open at the target.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -3,7 +3,7 @@
 
 use tanager_core::ServiceName;
 
-use crate::{Cookie, FlowKey, StandingChange, TargetNumber};
+use crate::{Cookie, FlowKey, HealthChange, StandingChange, TargetNumber};
 
 /// Where a packet is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,4 +129,6 @@
     },
     /// A target is believed in another state than before.
     Standing(StandingChange),
+    /// A target began or ceased to fail requests.
+    Health(HealthChange),
 }
--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::Incarnation;
 
-use crate::Cookie;
+use crate::{Cookie, Tally, TargetLoad};
 
 /// What one instance tells about another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,7 +20,7 @@
     pub age: u8,
 }
 
-/// The load that one or several instances place on a target.
+/// What one or several instances have at a target, and have seen of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// The target.
@@ -29,41 +29,65 @@
     busy: u16,
     /// Flows, also idle ones.
     flows: u16,
+    /// Requests that ended, in units of [`Self::ANSWER_UNIT`]; older ones count less.
+    answers: u16,
+    /// Failed requests among them, in the same unit.
+    failures: u16,
 }
 
 impl LoadReport {
     /// The smallest load that is told apart, in running requests.
     pub const BUSY_UNIT: f64 = 0.01;
 
-    /// Creates a report; loads beyond the range count as its end.
+    /// The smallest part of a request that is told apart in counts of ended ones.
+    pub const ANSWER_UNIT: f64 = 0.1;
+
+    /// Creates a report, unless there is nothing to tell. Loads beyond the range count as its
+    /// end.
     #[must_use]
-    pub fn new(cookie: Cookie, busy: f64, flows: u32) -> Self {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "clamped"
-        )]
-        let busy = (busy / Self::BUSY_UNIT).clamp(0.0, f64::from(u16::MAX)) as u16;
-        Self {
+    pub fn new(cookie: Cookie, load: &TargetLoad) -> Option<Self> {
+        let report = Self {
             cookie,
-            busy,
-            flows: u16::try_from(flows).unwrap_or(u16::MAX),
-        }
+            busy: units(load.busy, Self::BUSY_UNIT),
+            flows: units(load.flows, 1.0),
+            answers: units(load.tally.answers, Self::ANSWER_UNIT),
+            failures: units(load.tally.failures, Self::ANSWER_UNIT),
+        };
+        let empty = report.busy == 0 && report.flows == 0 && report.answers == 0;
+        (!empty).then_some(report)
     }
 
-    /// Returns the mean number of running requests.
+    /// Returns what is reported.
     #[must_use]
-    pub fn busy(&self) -> f64 {
-        f64::from(self.busy) * Self::BUSY_UNIT
+    pub fn load(&self) -> TargetLoad {
+        TargetLoad {
+            busy: f64::from(self.busy) * Self::BUSY_UNIT,
+            flows: f64::from(self.flows),
+            tally: Tally {
+                answers: f64::from(self.answers) * Self::ANSWER_UNIT,
+                failures: f64::from(self.failures) * Self::ANSWER_UNIT,
+            },
+        }
     }
 
-    /// Returns the number of flows.
+    /// Orders reports by what a receiver misses most: failures, then load.
     #[must_use]
-    pub const fn flows(&self) -> u16 {
-        self.flows
+    pub fn weight(&self) -> (u16, u16) {
+        (self.failures, self.busy)
     }
 }
 
+/// Returns a value in a unit, within the range of a report.
+fn units(value: f64, unit: f64) -> u16 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped"
+    )]
+    let units = (value / unit).round().clamp(0.0, f64::from(u16::MAX)) as u16;
+    units
+}
+
 /// What an instance tells another one now and then.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -12,6 +12,9 @@
 /// Time for which a request counts as load. Clients do not acknowledge an answer of a single
 /// packet until they go on, so a request that is open for longer has most likely been answered.
 const RUN_LIMIT: Duration = Duration::from_millis(150);
+/// Time after which an answer is judged by what has come of it. Clients acknowledge an answer
+/// within 50 ms, and a slow target with a full queue answers within half a second.
+const ANSWER_LIMIT: Duration = Duration::from_millis(600);
 
 /// A request whose answer has not been acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -22,6 +25,15 @@
     pub counted: bool,
 }
 
+/// A request whose answer is still to be judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Watched {
+    /// When it began.
+    pub begun: Millis,
+    /// End of the target's data that the client had acknowledged then.
+    pub base: u32,
+}
+
 /// What an instance remembers of a flow.
 #[derive(Debug, Clone)]
 pub struct Flow {
@@ -37,6 +49,8 @@
     pub acknowledged: u32,
     /// The request under way.
     pub request: Option<Request>,
+    /// The request whose answer is to be judged, if one is.
+    pub watched: Option<Watched>,
     /// When the last packet came.
     pub seen: Millis,
     /// Whether the client has sent all that it will send.
@@ -53,6 +67,7 @@
             sent: segment.sequence,
             acknowledged: 0,
             request: None,
+            watched: None,
             seen: now,
             finished: false,
         }
@@ -67,6 +82,7 @@
             sent: segment.sequence,
             acknowledged: segment.acknowledged,
             request: None,
+            watched: None,
             seen: now,
             finished: false,
         }
@@ -76,40 +92,48 @@
     pub fn is_running(&self) -> bool {
         self.request.is_some_and(|r| r.counted)
     }
+
+    /// Returns the bytes of the watched answer that the client has acknowledged.
+    pub fn answer_length(&self) -> Option<u32> {
+        let watched = self.watched?;
+        Some(self.acknowledged.wrapping_sub(watched.base))
+    }
 }
 
 /// The flows of one instance.
 #[derive(Debug, Default)]
 pub struct Flows {
     /// Invariant: at most [`FLOW_LIMIT`] flows.
-    flows: FastMap<FlowKey, Flow>,
+    records: FastMap<FlowKey, Flow>,
     /// Begun requests that may still count as load, the oldest first.
     running: VecDeque<(Millis, FlowKey)>,
+    /// Requests whose answers may still have to be judged, the oldest first.
+    watched: VecDeque<(Millis, FlowKey)>,
 }
 
 impl Flows {
     /// Returns a flow.
     pub fn get_mut(&mut self, key: &FlowKey) -> Option<&mut Flow> {
-        self.flows.get_mut(key)
+        self.records.get_mut(key)
     }
 
     /// Returns a flow.
     pub fn get(&self, key: &FlowKey) -> Option<&Flow> {
-        self.flows.get(key)
+        self.records.get(key)
     }
 
     /// Remembers a flow. Returns whether there was room.
     pub fn insert(&mut self, key: FlowKey, flow: Flow) -> bool {
-        let room = self.flows.len() < FLOW_LIMIT || self.flows.contains_key(&key);
+        let room = self.records.len() < FLOW_LIMIT || self.records.contains_key(&key);
         if room {
-            self.flows.insert(key, flow);
+            self.records.insert(key, flow);
         }
         room
     }
 
     /// Forgets a flow.
     pub fn remove(&mut self, key: &FlowKey) -> Option<Flow> {
-        self.flows.remove(key)
+        self.records.remove(key)
     }
 
     /// Forgets flows that are over or have been idle for `idle`, and returns them.
@@ -118,12 +142,12 @@
             let age = now.since(flow.seen);
             age > idle || (flow.finished && age > FINISHED_LIFETIME)
         };
-        self.flows.extract_if(over).collect()
+        self.records.extract_if(over).collect()
     }
 
     /// Notes that a request of a flow began.
     pub fn begin(&mut self, key: FlowKey, now: Millis) {
-        if let Some(flow) = self.flows.get_mut(&key) {
+        if let Some(flow) = self.records.get_mut(&key) {
             flow.request = Some(Request {
                 begun: now,
                 counted: true,
@@ -139,7 +163,7 @@
                 return None;
             }
             self.running.pop_front();
-            let Some(flow) = self.flows.get_mut(&key) else {
+            let Some(flow) = self.records.get_mut(&key) else {
                 continue;
             };
             if let Some(request) = &mut flow.request
@@ -153,8 +177,34 @@
         None
     }
 
+    /// Notes that the answer to a flow's request is to be judged.
+    pub fn watch(&mut self, key: FlowKey, now: Millis) {
+        if let Some(flow) = self.records.get_mut(&key) {
+            flow.watched = Some(Watched {
+                begun: now,
+                base: flow.acknowledged,
+            });
+            self.watched.push_back((now, key));
+        }
+    }
+
+    /// Returns the next flow whose answer is to be judged now, if there is one.
+    pub fn take_unjudged(&mut self, now: Millis) -> Option<FlowKey> {
+        while let Some((begun, key)) = self.watched.front().copied() {
+            if now.since(begun) < ANSWER_LIMIT {
+                return None;
+            }
+            self.watched.pop_front();
+            let watched = self.records.get(&key).and_then(|f| f.watched);
+            if watched.is_some_and(|w| w.begun == begun) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
     /// Returns the number of flows.
     pub fn len(&self) -> usize {
-        self.flows.len()
+        self.records.len()
     }
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -1,3 +1,4 @@
+mod answers;
 mod carry;
 mod open;
 
@@ -9,6 +10,7 @@
 
 use crate::evidence::Evidence;
 use crate::flows::{Flow, Flows};
+use crate::health::Health;
 use crate::held::Held;
 use crate::load::Loads;
 use crate::opening::Openings;
@@ -16,7 +18,7 @@
 use crate::view::{News, View};
 use crate::{
     Action, Change, Cookie, Delta, DropReason, Due, Event, FlowKey, Forward, LoadReport,
-    ResetReason, RouteTable, Segment, SegmentKind, TargetNumber,
+    ResetReason, RouteTable, Segment, SegmentKind, TargetLoad, TargetNumber,
 };
 
 /// Time without a sign of life of any target after which the fault is likely on this side.
@@ -39,6 +41,8 @@
     pub suspect: usize,
     /// Targets that have stopped answering.
     pub lost: usize,
+    /// Targets that fail requests.
+    pub failing: usize,
 }
 
 /// Decides what happens to each packet of one instance.
@@ -53,6 +57,7 @@
     /// Generation of the view with which held packets were tried.
     held_at: u64,
     evidence: Evidence,
+    health: Health,
     loads: Loads,
     rng: StdRng,
     events: Vec<Event>,
@@ -72,6 +77,7 @@
             held: Held::default(),
             held_at: 0,
             evidence: Evidence::default(),
+            health: Health::default(),
             loads: Loads::default(),
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
@@ -137,6 +143,7 @@
     fn learn(&mut self, number: TargetNumber, news: News) {
         if news == News::Restarted {
             self.evidence.clear(number);
+            self.health.clear(number);
         }
     }
 
@@ -168,6 +175,7 @@
     pub fn take_due(&mut self, now: Millis) -> Vec<Due> {
         let mut due = self.release_held(now);
         self.replace_silent(&mut due, now);
+        self.judge_overdue(now);
         due
     }
 
@@ -204,6 +212,12 @@
         let view = &self.view;
         self.evidence.retain(|n| view.get(n).is_some());
         self.loads.retain(|n| view.get(n).is_some());
+        self.health.retain(|n| view.get(n).is_some());
+        self.health
+            .retain_routes(|address| view.routes().find(address).is_some());
+        for change in self.health.changes(now) {
+            self.note(Event::Health(change));
+        }
     }
 
     /// Ends the load of requests that have most likely been answered.
@@ -226,15 +240,23 @@
         std::mem::take(&mut self.answer_times)
     }
 
-    /// Returns the own load of each target, for peers.
+    /// Returns what this instance itself has at each target and has seen of it, for peers.
     pub fn load_report(&mut self, now: Millis) -> Vec<LoadReport> {
-        self.loads.report(now)
+        let mut reports = Vec::new();
+        for (target, busy, flows) in self.loads.own(now) {
+            let tally = self.health.own(target, now);
+            let load = TargetLoad { busy, flows, tally };
+            reports.extend(LoadReport::new(target.cookie(), &load));
+        }
+        reports
     }
 
-    /// Takes over what all other instances have at a target.
-    pub fn hear_load(&mut self, cookie: Cookie, busy: f64, flows: f64, now: Millis) {
+    /// Takes over what all other instances have at a target and have seen of it.
+    pub fn hear_load(&mut self, cookie: Cookie, load: &TargetLoad, now: Millis) {
         if let Some(known) = self.view.find(cookie) {
-            self.loads.hear(known.target.number, busy, flows, now);
+            let number = known.target.number;
+            self.loads.hear(number, load.busy, load.flows, now);
+            self.health.hear(number, load.tally, now);
         }
     }
 
@@ -257,6 +279,7 @@
             targets: self.view.present().count(),
             suspect,
             lost,
+            failing: self.health.failing(),
         }
     }
 
@@ -275,6 +298,7 @@
             zone: &self.zone,
             view: &self.view,
             evidence: &self.evidence,
+            health: &self.health,
             loads: &self.loads,
             now,
         };
--- a/crates/forward/src/forwarder/carry.rs
+++ b/crates/forward/src/forwarder/carry.rs
@@ -32,6 +32,9 @@
             };
         };
         self.observe(segment, now);
+        if matches!(segment.kind, SegmentKind::Finish | SegmentKind::Abort) {
+            self.judge_answer(&key, now);
+        }
         if segment.kind == SegmentKind::Data
             && segment.length > 0
             && let Some(reason) = self.reset_reason(&key, target, now)
@@ -114,9 +117,12 @@
                 self.flows.begin(key, now);
                 self.loads.begin(target, now);
             }
+            self.watch_answer(key, now);
         } else if let Some(request) = flow.request
             && now.since(request.begun) >= RESEND_TIME
         {
+            // The target is silent, which is another fault than a missing answer.
+            flow.watched = None;
             self.evidence.miss(target, key, now);
         }
     }
--- /dev/null
+++ b/crates/forward/src/health.rs
@@ -0,0 +1,236 @@
+//! Which targets fail requests although they take packets. Published health may be wrong, and
+//! answers do not pass through an instance, but clients acknowledge them: an answer that is much
+//! shorter than its route's usual ones is most likely an error, and one that never comes a hang.
+
+use std::time::Duration;
+
+use tanager_core::{FastMap, Millis};
+
+use crate::TargetNumber;
+use crate::segment::Endpoint;
+
+/// Time over which answers and failures are remembered, each counting less as it grows older.
+const MEMORY: Duration = Duration::from_secs(3);
+/// Reports of peers older than this are not used.
+const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+/// Answers of a route that must be known before a short one is told from them.
+const USUAL_ANSWERS: u32 = 12;
+/// An answer shorter than this part of the route's usual ones counts as failed. Errors have a
+/// status and little else.
+const SHORT_PART: f64 = 0.3;
+/// How far one answer moves the usual length, as a part of it.
+const USUAL_STEP: f64 = 0.05;
+/// Sound answers that each target is credited with, so that one failure does not decide alone.
+const CREDIT: f64 = 1.0;
+/// Part of failed requests above which a target counts as failing. Less is taken as chance:
+/// clients that leave early, and short answers.
+pub const FAILING_RATE: f64 = 0.15;
+/// Part of failed requests below which a failing target is logged as sound again.
+const SOUND_RATE: f64 = 0.08;
+
+/// How a request ended, as far as its client's packets show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// An answer of a usual length came.
+    Answered,
+    /// No answer came, or a very short one.
+    Failed,
+}
+
+/// Answers of a target, and how many of them failed. Both grow old.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Tally {
+    /// Requests that ended. Invariant: at least `failures`.
+    pub answers: f64,
+    /// Requests that failed.
+    pub failures: f64,
+}
+
+impl Tally {
+    /// Returns the part of requests that failed.
+    fn rate(self) -> f64 {
+        self.failures / (self.answers + CREDIT)
+    }
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            answers: self.answers + other.answers,
+            failures: self.failures + other.failures,
+        }
+    }
+
+    /// Returns what is left of it after some time.
+    fn aged(self, elapsed: Duration) -> Self {
+        let left = (-elapsed.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        Self {
+            answers: self.answers * left,
+            failures: self.failures * left,
+        }
+    }
+}
+
+/// A tally as of a time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Dated {
+    tally: Tally,
+    at: Millis,
+}
+
+impl Dated {
+    fn now(&self, now: Millis) -> Tally {
+        self.tally.aged(now.since(self.at))
+    }
+}
+
+/// The usual length of a route's answers.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usual {
+    length: f64,
+    answers: u32,
+}
+
+impl Usual {
+    /// Takes an answer into account. The usual length follows the median, which a few errors or
+    /// very long answers do not move.
+    fn learn(&mut self, length: f64) {
+        if self.answers == 0 {
+            self.length = length;
+        } else if length > self.length {
+            self.length *= 1.0 + USUAL_STEP;
+        } else {
+            self.length *= 1.0 - USUAL_STEP;
+        }
+        self.answers = self.answers.saturating_add(1);
+    }
+}
+
+/// A target that began or ceased to fail requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HealthChange {
+    /// The target.
+    pub target: TargetNumber,
+    /// Whether it fails requests now.
+    pub failing: bool,
+    /// Part of its requests that failed.
+    pub rate: f64,
+    /// Requests that this rests on, older ones counting less.
+    pub answers: f64,
+}
+
+/// Failures of all targets.
+#[derive(Debug, Default)]
+pub struct Health {
+    usual: FastMap<Endpoint, Usual>,
+    own: FastMap<TargetNumber, Dated>,
+    others: FastMap<TargetNumber, Dated>,
+    /// Targets that were last logged as failing.
+    failing: Vec<TargetNumber>,
+}
+
+impl Health {
+    /// Judges an answer to a request that came to a route's address, and counts it.
+    pub fn count(&mut self, target: TargetNumber, route: Endpoint, length: u32, now: Millis) {
+        let outcome = self.judge(route, length);
+        let own = self.own.entry(target).or_default();
+        let one = Tally {
+            answers: 1.0,
+            failures: f64::from(u8::from(outcome == Outcome::Failed)),
+        };
+        *own = Dated {
+            tally: own.now(now).add(one),
+            at: now,
+        };
+    }
+
+    fn judge(&mut self, route: Endpoint, length: u32) -> Outcome {
+        if length == 0 {
+            return Outcome::Failed;
+        }
+        let length = f64::from(length);
+        let usual = self.usual.entry(route).or_default();
+        let known = usual.answers >= USUAL_ANSWERS;
+        let short = known && length < usual.length * SHORT_PART;
+        usual.learn(length);
+        if short {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
+        }
+    }
+
+    /// Returns the part of a target's recent requests that failed, on all instances.
+    pub fn failure_rate(&self, target: TargetNumber, now: Millis) -> f64 {
+        self.tally(target, now).rate()
+    }
+
+    fn tally(&self, target: TargetNumber, now: Millis) -> Tally {
+        let others = self.others.get(&target);
+        let others = others.filter(|o| now.since(o.at) < REPORT_LIFETIME);
+        let others = others.map_or_else(Tally::default, |o| o.now(now));
+        self.own(target, now).add(others)
+    }
+
+    /// Returns what this instance has seen of a target itself, for peers.
+    pub fn own(&self, target: TargetNumber, now: Millis) -> Tally {
+        self.own
+            .get(&target)
+            .map_or_else(Tally::default, |o| o.now(now))
+    }
+
+    /// Takes over what all other instances have seen of a target.
+    pub fn hear(&mut self, target: TargetNumber, tally: Tally, now: Millis) {
+        self.others.insert(target, Dated { tally, at: now });
+    }
+
+    /// Returns the targets that began or ceased to fail since the last call.
+    pub fn changes(&mut self, now: Millis) -> Vec<HealthChange> {
+        let mut changed = Vec::new();
+        let known = self.own.keys().chain(self.others.keys());
+        for target in known.copied() {
+            let tally = self.tally(target, now);
+            let was = self.failing.contains(&target);
+            let limit = if was { SOUND_RATE } else { FAILING_RATE };
+            let failing = tally.rate() > limit;
+            let change = HealthChange {
+                target,
+                failing,
+                rate: tally.rate(),
+                answers: tally.answers,
+            };
+            if failing != was && !changed.contains(&change) {
+                changed.push(change);
+            }
+        }
+        for change in &changed {
+            if change.failing {
+                self.failing.push(change.target);
+            } else {
+                self.failing.retain(|t| *t != change.target);
+            }
+        }
+        changed
+    }
+
+    /// Returns the number of targets that were last logged as failing.
+    pub fn failing(&self) -> usize {
+        self.failing.len()
+    }
+
+    /// Forgets what was seen of a target, as when it was started again.
+    pub fn clear(&mut self, target: TargetNumber) {
+        self.own.remove(&target);
+        self.others.remove(&target);
+    }
+
+    /// Forgets targets that are not known any more.
+    pub fn retain(&mut self, known: impl Fn(TargetNumber) -> bool) {
+        self.own.retain(|target, _| known(*target));
+        self.others.retain(|target, _| known(*target));
+        self.failing.retain(|target| known(*target));
+    }
+
+    /// Forgets addresses that are in no route any more.
+    pub fn retain_routes(&mut self, known: impl Fn(Endpoint) -> bool) {
+        self.usual.retain(|address, _| known(*address));
+    }
+}
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -5,7 +5,7 @@
 
 use tanager_core::{FastMap, Millis};
 
-use crate::{LoadReport, TargetNumber};
+use crate::{Tally, TargetNumber};
 
 /// Time over which the mean number of running requests is taken.
 const AVERAGE_TIME: Duration = Duration::from_secs(1);
@@ -42,6 +42,28 @@
     received: Millis,
 }
 
+/// What one or several instances have at a target, and have seen of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct TargetLoad {
+    /// Mean number of running requests.
+    pub busy: f64,
+    /// Flows, also idle ones.
+    pub flows: f64,
+    /// How requests ended.
+    pub tally: Tally,
+}
+
+impl TargetLoad {
+    /// Adds another load, or takes it away.
+    pub(crate) fn add(&mut self, other: &Self, sign: f64) {
+        let sum = |a: f64, b: f64| (a + b * sign).max(0.0);
+        self.busy = sum(self.busy, other.busy);
+        self.flows = sum(self.flows, other.flows);
+        self.tally.answers = sum(self.tally.answers, other.tally.answers);
+        self.tally.failures = sum(self.tally.failures, other.tally.failures);
+    }
+}
+
 /// The load of one target as it is compared.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -121,16 +143,12 @@
         }
     }
 
-    /// Returns the own load of each target, for peers.
-    pub fn report(&mut self, now: Millis) -> Vec<LoadReport> {
-        let mut reports = Vec::new();
-        for (target, own) in &mut self.own {
+    /// Returns the own mean of running requests and the own flows of each target.
+    pub fn own(&mut self, now: Millis) -> impl Iterator<Item = (TargetNumber, f64, f64)> {
+        self.own.iter_mut().map(move |(target, own)| {
             own.settle(now);
-            if own.flows > 0 || own.busy > LoadReport::BUSY_UNIT {
-                reports.push(LoadReport::new(target.cookie(), own.busy, own.flows));
-            }
-        }
-        reports
+            (*target, own.busy, f64::from(own.flows))
+        })
     }
 
     /// Takes over what all other instances have at a target.
--- a/crates/forward/src/membership/loads.rs
+++ b/crates/forward/src/membership/loads.rs
@@ -3,9 +3,9 @@
 use tanager_core::{FastMap, Millis};
 
 use super::{MEMBER_LIFETIME, Member, Membership, Role};
-use crate::{Cookie, LoadReport};
+use crate::{Cookie, LoadReport, TargetLoad};
 
-/// Loads of one beacon at most; in larger fleets the busiest targets are reported.
+/// Loads of one beacon at most; in larger fleets failing targets and the busiest are reported.
 const LOAD_LIMIT: usize = 128;
 
 impl Membership {
@@ -18,17 +18,12 @@
     ) -> Vec<LoadReport> {
         let mut sums = self.sum(now, |m| all_zones || m.zone == self.own.zone);
         add(&mut sums, own_loads, 1.0);
-        let report = |(cookie, (busy, flows)): (Cookie, (f64, f64))| {
-            #[expect(
-                clippy::cast_possible_truncation,
-                clippy::cast_sign_loss,
-                reason = "a sum of counts"
-            )]
-            LoadReport::new(cookie, busy, flows.max(0.0) as u32)
-        };
-        let mut loads: Vec<_> = sums.into_iter().map(report).collect();
+        let reports = sums
+            .iter()
+            .filter_map(|(c, load)| LoadReport::new(*c, load));
+        let mut loads: Vec<_> = reports.collect();
         if loads.len() > LOAD_LIMIT {
-            loads.sort_unstable_by(|a, b| b.busy().total_cmp(&a.busy()));
+            loads.sort_unstable_by_key(|l| std::cmp::Reverse(l.weight()));
             loads.truncate(LOAD_LIMIT);
         }
         loads
@@ -67,13 +62,13 @@
     }
 }
 
-/// Running requests and flows by target.
-pub type LoadSums = FastMap<Cookie, (f64, f64)>;
+/// What instances together have at each target.
+pub type LoadSums = FastMap<Cookie, TargetLoad>;
 
-fn add(sums: &mut LoadSums, loads: &[LoadReport], factor: f64) {
-    for load in loads {
-        let sum = sums.entry(load.cookie).or_default();
-        sum.0 = (sum.0 + load.busy() * factor).max(0.0);
-        sum.1 = (sum.1 + f64::from(load.flows()) * factor).max(0.0);
+/// Adds reports to sums, or takes them away.
+fn add(sums: &mut LoadSums, reports: &[LoadReport], sign: f64) {
+    for report in reports {
+        let sum = sums.entry(report.cookie).or_default();
+        sum.add(&report.load(), sign);
     }
 }
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -8,6 +8,7 @@
 use tanager_core::{Millis, ServiceName, ZoneName};
 
 use crate::evidence::Evidence;
+use crate::health::{FAILING_RATE, Health};
 use crate::load::Loads;
 use crate::view::{Known, View};
 use crate::{Standing, TargetNumber, TargetState};
@@ -25,6 +26,9 @@
 const SUSPECT_LOAD: f64 = 10.0;
 /// Load added to a target that has stopped answering: it is a last resort.
 const LOST_LOAD: f64 = 1_000.0;
+/// Load that a target which fails all its requests has more than one which fails none. Between
+/// a full queue and a suspect target, so that callers wait rather than fail.
+const FAILURE_LOAD: f64 = 10.0;
 /// Targets of the own zone, and as many of all zones, that are compared for one flow.
 const SAMPLE: usize = 2;
 
@@ -47,6 +51,8 @@
     pub view: &'a View,
     /// Signs of life.
     pub evidence: &'a Evidence,
+    /// Failed requests.
+    pub health: &'a Health,
     /// Load of the targets.
     pub loads: &'a Loads,
     /// The present time.
@@ -135,6 +141,8 @@
         if target.zone != *self.zone {
             total += ZONE_PREFERENCE;
         }
+        let failures = self.health.failure_rate(target.number, self.now);
+        total += FAILURE_LOAD * (failures - FAILING_RATE).max(0.0);
         total += match self.evidence.standing(target.number, self.now) {
             Standing::Sound => 0.0,
             Standing::Suspect => SUSPECT_LOAD,
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -8,7 +8,7 @@
 
 use common::at;
 use tanager_core::{Incarnation, Millis};
-use tanager_forward::{Cookie, LoadReport, Membership, OwnInstance, Role};
+use tanager_forward::{Cookie, LoadReport, Membership, OwnInstance, Role, Tally, TargetLoad};
 
 /// A view age that casts no doubt.
 const FRESH: Option<Duration> = Some(Duration::from_millis(500));
@@ -39,6 +39,18 @@
     to.hear(&beacon, now);
 }
 
+fn load(busy: f64, flows: f64) -> TargetLoad {
+    TargetLoad {
+        busy,
+        flows,
+        ..TargetLoad::default()
+    }
+}
+
+fn report(cookie: u32, load: TargetLoad) -> LoadReport {
+    LoadReport::new(Cookie::new(cookie), &load).expect("a load to report")
+}
+
 /// Guards against a fleet in which every instance reads the store.
 #[test]
 fn the_largest_instance_of_a_zone_reads() {
@@ -102,21 +114,47 @@
 #[test]
 fn loads_are_counted_once() {
     let cookie = Cookie::new(9);
-    let load = |busy, flows| [LoadReport::new(cookie, busy, flows)];
+    let load = |busy, flows| [report(9, load(busy, flows))];
     let mut hub = member(1, 0, 500);
     let mut leaf = member(2, 0, 38);
     let mut far = member(3, 1, 500);
-    send(&mut hub, &mut leaf, 2, &load(1.0, 10), at(0));
-    send(&mut leaf, &mut hub, 1, &load(0.5, 5), at(10));
-    send(&mut far, &mut hub, 1, &load(0.25, 3), at(20));
+    send(&mut hub, &mut leaf, 2, &load(1.0, 10.0), at(0));
+    send(&mut leaf, &mut hub, 1, &load(0.5, 5.0), at(10));
+    send(&mut far, &mut hub, 1, &load(0.25, 3.0), at(20));
+
+    send(&mut hub, &mut leaf, 2, &load(1.0, 10.0), at(30));
+    send(&mut hub, &mut far, 3, &load(1.0, 10.0), at(30));
+
+    let of = |m: &Membership, role| {
+        let load = m.loads_of_others(role, at(40))[&cookie];
+        (load.busy, load.flows)
+    };
+    assert_eq!(of(&hub, Role::Hub), (0.75, 8.0));
+    assert_eq!(of(&leaf, Role::Leaf), (1.25, 13.0));
+    assert_eq!(of(&far, Role::Hub), (1.5, 15.0));
+}
+
+/// Guards against leaving a failing target out of a beacon that cannot name all targets: it is
+/// idle, since nobody who has seen it fail sends work there.
+#[test]
+fn a_beacon_names_failing_targets_before_busy_ones() {
+    let mut hub = member(1, 0, 500);
+    let mut leaf = member(2, 0, 38);
+    let mut loads: Vec<_> = (1..=200).map(|n| report(n, load(3.0, 20.0))).collect();
+    let tally = Tally {
+        answers: 4.0,
+        failures: 4.0,
+    };
+    let failing = TargetLoad {
+        tally,
+        ..load(0.0, 1.0)
+    };
+    loads.push(report(999, failing));
 
-    send(&mut hub, &mut leaf, 2, &load(1.0, 10), at(30));
-    send(&mut hub, &mut far, 3, &load(1.0, 10), at(30));
+    send(&mut hub, &mut leaf, 2, &loads, at(0));
 
-    let of = |m: &Membership, role| m.loads_of_others(role, at(40)).get(&cookie).copied();
-    assert_eq!(of(&hub, Role::Hub), Some((0.75, 8.0)));
-    assert_eq!(of(&leaf, Role::Leaf), Some((1.25, 13.0)));
-    assert_eq!(of(&far, Role::Hub), Some((1.5, 15.0)));
+    let heard = leaf.loads_of_others(Role::Leaf, at(10));
+    assert_eq!(heard[&Cookie::new(999)].tally, tally);
 }
 
 /// Guards against beacons whose number grows with the fleet for an ordinary instance.
--- a/crates/forward/tests/many_instances.rs
+++ b/crates/forward/tests/many_instances.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{FEED_PORT, at, open_flow, seeded_forwarder, target, zone};
-use tanager_forward::{Forwarder, TargetNumber};
+use tanager_forward::{Forwarder, TargetLoad, TargetNumber};
 
 /// Instances of one availability zone.
 const INSTANCES: u16 = 29;
@@ -27,7 +27,12 @@
     let mut forwarder = seeded_forwarder(targets, seed);
     for number in 2..=3 * TARGETS {
         let cookie = TargetNumber::new(number).cookie();
-        forwarder.hear_load(cookie, 1.5, 20.0, at(1_000));
+        let load = TargetLoad {
+            busy: 1.5,
+            flows: 20.0,
+            ..TargetLoad::default()
+        };
+        forwarder.hear_load(cookie, &load, at(1_000));
     }
     forwarder
 }
--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -7,7 +7,7 @@
 
 use common::{FEED_PORT, ORDER_PORT, REVISION, at, forwarder, open_flow, published, target};
 use tanager_core::FastMap;
-use tanager_forward::{Forwarder, TargetNumber};
+use tanager_forward::{Forwarder, TargetLoad, TargetNumber};
 
 /// Long flows that the other targets hold.
 const FEEDS: u16 = 100;
@@ -46,7 +46,12 @@
     let mut forwarder = releasing();
     for number in 1..=5 {
         let cookie = TargetNumber::new(number).cookie();
-        forwarder.hear_load(cookie, 3.0, 20.0, at(1_005));
+        let load = TargetLoad {
+            busy: 3.0,
+            flows: 20.0,
+            ..TargetLoad::default()
+        };
+        forwarder.hear_load(cookie, &load, at(1_005));
     }
 
     let mut running = 0;
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -154,8 +154,8 @@
     let now = instance.now();
     let loads = instance.membership.borrow().loads_of_others(role, now);
     let mut forwarder = instance.forwarder.borrow_mut();
-    for (cookie, (busy, flows)) in loads {
-        forwarder.hear_load(cookie, busy, flows, now);
+    for (cookie, load) in loads {
+        forwarder.hear_load(cookie, &load, now);
     }
 }
 
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -71,6 +71,7 @@
     targets: AtomicU64,
     suspect: AtomicU64,
     lost: AtomicU64,
+    failing: AtomicU64,
     peers: AtomicU64,
     ready: AtomicU64,
 }
@@ -86,6 +87,7 @@
         set(&self.targets, gauges.targets);
         set(&self.suspect, gauges.suspect);
         set(&self.lost, gauges.lost);
+        set(&self.failing, gauges.failing);
         set(&self.peers, peers);
         set(&self.ready, usize::from(ready));
     }
@@ -110,6 +112,9 @@
         "Targets that have stopped answering.",
         |c| &c.lost,
     ),
+    ("targets_failing", "Targets that fail requests.", |c| {
+        &c.failing
+    }),
     ("peers", "Other instances heard from.", |c| &c.peers),
     ("ready", "1 if the instance takes packets.", |c| &c.ready),
 ];
@@ -256,7 +261,7 @@
             Event::Placed { .. } => counters.openings_replaced.increment(),
             Event::Reset { .. } => counters.flows_reset.increment(),
             Event::Dropped { .. } => counters.packets_dropped.increment(),
-            Event::Standing(_) => {}
+            Event::Standing(_) | Event::Health(_) => {}
         }
     }
 
@@ -271,7 +276,7 @@
                 attempt,
             } => info!(self.log, "[forward] placed";
                 "flow" => %flow, "service" => %service, "target" => %target,
-                "load" => (load * 1_000.0).round() / 1_000.0, "candidates" => candidates,
+                "load" => rounded(*load), "candidates" => candidates,
                 "attempt" => attempt, "revision" => revision, "view_age_ms" => age_ms),
             Event::Reset {
                 flow,
@@ -292,10 +297,19 @@
                 "misses" => change.misses,
                 "silent_ms" => change.silent.map(millis),
                 "revision" => revision, "view_age_ms" => age_ms),
+            Event::Health(change) => info!(self.log, "[forward] target health";
+                "target" => %change.target, "failing" => change.failing,
+                "rate" => rounded(change.rate), "answers" => rounded(change.answers),
+                "revision" => revision, "view_age_ms" => age_ms),
         }
     }
 }
 
+/// Returns a number with as many digits as a reader of logs needs.
+fn rounded(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
