Learn how long openings take before trying another target

Cause: an opening packet went to a second target after a fixed 70 ms without a sign of the client.

Ruled out: a larger fixed time (near clients would wait for silent targets for nothing); times of openings that the client repeated or that the second target answered (they may be those of another copy, so nothing is learned there).

--- a/crates/forward/src/forwarder/carry.rs
+++ b/crates/forward/src/forwarder/carry.rs
@@ -79,7 +79,7 @@
         flow.open = true;
         flow.acknowledged = segment.acknowledged;
         self.loads.opened(target, now);
-        self.openings.finish(&key);
+        self.openings.answer(&key, target, now);
         if segment.kind != SegmentKind::Abort {
             self.evidence.alive(target, now);
         }
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -6,7 +6,7 @@
 
 use super::Forwarder;
 use crate::flows::Flow;
-use crate::opening::{ANSWER_TIME, TRIES};
+use crate::opening::TRIES;
 use crate::{Action, DropReason, Due, FlowKey, Forward, ResetReason, Segment};
 
 /// A view that is this old may lack a route, so packets without one are dropped, not reset.
@@ -56,8 +56,8 @@
         if flow.open {
             return Some(self.forward(target));
         }
-        let waited = self.openings.get(&key).map(|o| now.since(o.sent));
-        if waited.is_some_and(|time| time < ANSWER_TIME) {
+        self.openings.repeat(&key);
+        if self.openings.get(&key).is_some_and(|o| now < o.due) {
             return Some(self.forward(target));
         }
         self.evidence.miss(target, key, now);
