Let sound answers fade sooner than failures, and take only short texts for errors

Change: sound answers fade over 1 s, failures over 3 s; an error has at most 512 bytes. A test of small downloads.

--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -29,9 +29,9 @@
     busy: u16,
     /// Flows, also idle ones.
     flows: u16,
-    /// Requests that ended, in units of [`Self::ANSWER_UNIT`]; older ones count less.
-    answers: u16,
-    /// Failed requests among them, in the same unit.
+    /// Sound answers in units of [`Self::ANSWER_UNIT`]; older ones count less.
+    sound: u16,
+    /// Failed requests in the same unit.
     failures: u16,
 }
 
@@ -50,10 +50,11 @@
             cookie,
             busy: units(load.busy, Self::BUSY_UNIT),
             flows: units(load.flows, 1.0),
-            answers: units(load.tally.answers, Self::ANSWER_UNIT),
+            sound: units(load.tally.sound, Self::ANSWER_UNIT),
             failures: units(load.tally.failures, Self::ANSWER_UNIT),
         };
-        let empty = report.busy == 0 && report.flows == 0 && report.answers == 0;
+        let empty =
+            report.busy == 0 && report.flows == 0 && report.sound == 0 && report.failures == 0;
         (!empty).then_some(report)
     }
 
@@ -64,7 +65,7 @@
             busy: f64::from(self.busy) * Self::BUSY_UNIT,
             flows: f64::from(self.flows),
             tally: Tally {
-                answers: f64::from(self.answers) * Self::ANSWER_UNIT,
+                sound: f64::from(self.sound) * Self::ANSWER_UNIT,
                 failures: f64::from(self.failures) * Self::ANSWER_UNIT,
             },
         }
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -9,15 +9,21 @@
 use crate::TargetNumber;
 use crate::segment::Endpoint;
 
-/// Time over which answers and failures are remembered, each counting less as it grows older.
-const MEMORY: Duration = Duration::from_secs(3);
+/// Time over which sound answers are remembered, each counting less as it grows older. Short, so
+/// that a target which begins to fail does not live on its past.
+const SOUND_MEMORY: Duration = Duration::from_secs(1);
+/// Time over which failures are remembered. Longer, so that a target is not tried again at once.
+const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 /// Reports of peers older than this are not used.
 const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 /// Answers of a route that must be known before a short one is told from them.
 const USUAL_ANSWERS: u32 = 12;
-/// An answer shorter than this part of the route's usual ones counts as failed. Errors have a
-/// status and little else.
+/// An answer shorter than this part of the route's usual ones, and than [`ERROR_LENGTH`], counts
+/// as failed.
 const SHORT_PART: f64 = 0.3;
+/// The longest error in bytes: a status, a few header fields and a line of text. A longer answer
+/// to a download is a small file.
+const ERROR_LENGTH: f64 = 512.0;
 /// How far one answer moves the usual length, as a part of it.
 const USUAL_STEP: f64 = 0.05;
 /// Sound answers that each target is credited with, so that one failure does not decide alone.
@@ -37,34 +43,34 @@
     Failed,
 }
 
-/// Answers of a target, and how many of them failed. Both grow old.
+/// How requests to a target ended. Both numbers shrink as they grow old.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Tally {
-    /// Requests that ended. Invariant: at least `failures`.
-    pub answers: f64,
-    /// Requests that failed.
+    /// Sound answers.
+    pub sound: f64,
+    /// Failed requests.
     pub failures: f64,
 }
 
 impl Tally {
     /// Returns the part of requests that failed.
     fn rate(self) -> f64 {
-        self.failures / (self.answers + CREDIT)
+        self.failures / (self.sound + self.failures + CREDIT)
     }
 
     fn add(self, other: Self) -> Self {
         Self {
-            answers: self.answers + other.answers,
+            sound: self.sound + other.sound,
             failures: self.failures + other.failures,
         }
     }
 
     /// Returns what is left of it after some time.
     fn aged(self, elapsed: Duration) -> Self {
-        let left = (-elapsed.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        let left = |memory: Duration| (-elapsed.as_secs_f64() / memory.as_secs_f64()).exp();
         Self {
-            answers: self.answers * left,
-            failures: self.failures * left,
+            sound: self.sound * left(SOUND_MEMORY),
+            failures: self.failures * left(FAILURE_MEMORY),
         }
     }
 }
@@ -113,8 +119,8 @@
     pub failing: bool,
     /// Part of its requests that failed.
     pub rate: f64,
-    /// Requests that this rests on, older ones counting less.
-    pub answers: f64,
+    /// What this rests on.
+    pub tally: Tally,
 }
 
 /// Failures of all targets.
@@ -132,9 +138,15 @@
     pub fn count(&mut self, target: TargetNumber, route: Endpoint, length: u32, now: Millis) {
         let outcome = self.judge(route, length);
         let own = self.own.entry(target).or_default();
-        let one = Tally {
-            answers: 1.0,
-            failures: f64::from(u8::from(outcome == Outcome::Failed)),
+        let one = match outcome {
+            Outcome::Answered => Tally {
+                sound: 1.0,
+                failures: 0.0,
+            },
+            Outcome::Failed => Tally {
+                sound: 0.0,
+                failures: 1.0,
+            },
         };
         *own = Dated {
             tally: own.now(now).add(one),
@@ -149,7 +161,7 @@
         let length = f64::from(length);
         let usual = self.usual.entry(route).or_default();
         let known = usual.answers >= USUAL_ANSWERS;
-        let short = known && length < usual.length * SHORT_PART;
+        let short = known && length < ERROR_LENGTH.min(usual.length * SHORT_PART);
         usual.learn(length);
         if short {
             Outcome::Failed
@@ -195,7 +207,7 @@
                 target,
                 failing,
                 rate: tally.rate(),
-                answers: tally.answers,
+                tally,
             };
             if failing != was && !changed.contains(&change) {
                 changed.push(change);
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -59,7 +59,7 @@
         let sum = |a: f64, b: f64| (a + b * sign).max(0.0);
         self.busy = sum(self.busy, other.busy);
         self.flows = sum(self.flows, other.flows);
-        self.tally.answers = sum(self.tally.answers, other.tally.answers);
+        self.tally.sound = sum(self.tally.sound, other.tally.sound);
         self.tally.failures = sum(self.tally.failures, other.tally.failures);
     }
 }
--- a/crates/forward/tests/failing_targets.rs
+++ b/crates/forward/tests/failing_targets.rs
@@ -110,6 +110,23 @@
     assert_eq!(forwarder.gauges(at(2_000)).failing, 0);
 }
 
+/// Guards against taking a small file for an error: sizes of downloads differ a hundredfold.
+#[test]
+fn small_downloads_are_no_failures() {
+    let mut forwarder = forwarder(4);
+    for i in 0..200 {
+        let now = 10 * u64::from(i);
+        let mut client = open_flow(&mut forwarder, 1_000 + i, FEED_PORT, at(now));
+        client.send(&mut forwarder, 200, at(now));
+        client.received += if i % 4 == 3 { 3_000 } else { 40_000 };
+        client.finish(&mut forwarder, at(now + 30));
+    }
+
+    forwarder.sweep(at(2_000));
+
+    assert_eq!(forwarder.gauges(at(2_000)).failing, 0);
+}
+
 /// Guards against an answer in several parts that counts as several short ones, and against
 /// judging feeds by the answers of orders.
 #[test]
@@ -136,7 +153,7 @@
     let mut forwarder = forwarder(4);
     let heard = TargetLoad {
         tally: Tally {
-            answers: 6.0,
+            sound: 0.0,
             failures: 6.0,
         },
         ..TargetLoad::default()
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -142,7 +142,7 @@
     let mut leaf = member(2, 0, 38);
     let mut loads: Vec<_> = (1..=200).map(|n| report(n, load(3.0, 20.0))).collect();
     let tally = Tally {
-        answers: 4.0,
+        sound: 0.0,
         failures: 4.0,
     };
     let failing = TargetLoad {
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -299,7 +299,8 @@
                 "revision" => revision, "view_age_ms" => age_ms),
             Event::Health(change) => info!(self.log, "[forward] target health";
                 "target" => %change.target, "failing" => change.failing,
-                "rate" => rounded(change.rate), "answers" => rounded(change.answers),
+                "rate" => rounded(change.rate), "sound" => rounded(change.tally.sound),
+                "failures" => rounded(change.tally.failures),
                 "revision" => revision, "view_age_ms" => age_ms),
         }
     }
