--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -1,3 +1,5 @@
+//! What a decision tells the network side to do, and what it tells the log.
+
 use std::fmt;
 use std::net::SocketAddrV4;
 
--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -1,3 +1,5 @@
+//! The message that instances send each other now and then.
+
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -1,3 +1,5 @@
+//! The flows that an instance remembers, with the requests under way on them.
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -1,6 +1,11 @@
+//! Decides what happens to each packet. The parts below this module treat kinds of packets, news
+//! and reports.
+
 mod answers;
 mod carry;
+mod news;
 mod open;
+mod reports;
 
 use std::time::Duration;
 
@@ -15,36 +20,18 @@
 use crate::load::Loads;
 use crate::opening::Openings;
 use crate::place::{Choice, Placement};
-use crate::view::{News, View};
+use crate::view::View;
 use crate::{
-    Action, Change, Cookie, Delta, DropReason, Due, Event, FlowKey, Forward, LoadReport,
-    ResetReason, RouteTable, Segment, SegmentKind, TargetLoad, TargetNumber,
+    Action, DropReason, Due, Event, FlowKey, Forward, ResetReason, Segment, SegmentKind,
+    TargetNumber,
 };
+pub use reports::Gauges;
 
-/// Time without a sign of life of any target after which the fault is likely on this side.
-const DEAF_AFTER: Duration = Duration::from_secs(1);
 /// Events kept for the log at most between two calls of [`Forwarder::take_events`].
 const EVENT_LIMIT: usize = 1_000;
 /// Idle time after which a flow is forgotten when no configuration says it.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
-/// Numbers that metrics show.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Gauges {
-    /// Flows that are remembered.
-    pub flows: usize,
-    /// Requests without an answer so far.
-    pub waiting: usize,
-    /// Published targets.
-    pub targets: usize,
-    /// Targets that owe an answer.
-    pub suspect: usize,
-    /// Targets that have stopped answering.
-    pub lost: usize,
-    /// Targets that fail requests.
-    pub failing: usize,
-}
-
 /// Decides what happens to each packet of one instance.
 pub struct Forwarder {
     zone: ZoneName,
@@ -91,62 +78,6 @@
         &self.view
     }
 
-    /// Notes that the view was complete at a time.
-    pub fn verify(&mut self, at: Millis) {
-        self.verified = Some(self.verified.map_or(at, |v| v.max(at)));
-    }
-
-    /// Returns the time since the view was known to be complete.
-    #[must_use]
-    pub fn view_age(&self, now: Millis) -> Option<Duration> {
-        self.verified.map(|at| now.since(at))
-    }
-
-    /// Takes over a published change of one target. Returns whether it was news.
-    pub fn apply(&mut self, change: Change, now: Millis) -> bool {
-        let number = change.number;
-        let news = self.view.apply(change, now);
-        self.learn(number, news);
-        news != News::Old
-    }
-
-    /// Takes over published routes. Returns whether they were news.
-    pub fn apply_routes(&mut self, routes: RouteTable) -> bool {
-        self.view.apply_routes(routes)
-    }
-
-    /// Marks targets as removed that a complete reading at `revision` did not list.
-    pub fn retain(
-        &mut self,
-        listed: impl Fn(TargetNumber) -> bool,
-        revision: u64,
-        now: Millis,
-    ) -> Vec<TargetNumber> {
-        self.view.retain(listed, revision, now)
-    }
-
-    /// Notes that all changes up to a revision have been applied.
-    pub fn advance(&mut self, revision: u64) {
-        self.view.advance(revision);
-    }
-
-    /// Takes over a peer's newer view. Returns the changed targets.
-    pub fn merge(&mut self, delta: Delta, now: Millis) -> Vec<TargetNumber> {
-        let changed = self.view.merge(delta, now);
-        for (number, news) in &changed {
-            self.learn(*number, *news);
-        }
-        changed.into_iter().map(|(number, _)| number).collect()
-    }
-
-    /// Forgets what was seen of a target's former life.
-    fn learn(&mut self, number: TargetNumber, news: News) {
-        if news == News::Restarted {
-            self.evidence.clear(number);
-            self.health.clear(number);
-        }
-    }
-
     /// Decides about a client's packet.
     pub fn packet(&mut self, segment: &Segment, packet: &[u8], now: Millis) -> Action {
         self.end_overdue(now);
@@ -227,62 +158,6 @@
         }
     }
 
-    /// Returns decisions and changed beliefs since the last call.
-    pub fn take_events(&mut self, now: Millis) -> Vec<Event> {
-        for change in self.evidence.changes(now) {
-            self.note(Event::Standing(change));
-        }
-        std::mem::take(&mut self.events)
-    }
-
-    /// Returns the times from requests to answers since the last call.
-    pub fn take_answer_times(&mut self) -> Vec<Duration> {
-        std::mem::take(&mut self.answer_times)
-    }
-
-    /// Returns what this instance itself has at each target and has seen of it, for peers.
-    pub fn load_report(&mut self, now: Millis) -> Vec<LoadReport> {
-        let mut reports = Vec::new();
-        for (target, busy, flows) in self.loads.own(now) {
-            let tally = self.health.own(target, now);
-            let load = TargetLoad { busy, flows, tally };
-            reports.extend(LoadReport::new(target.cookie(), &load));
-        }
-        reports
-    }
-
-    /// Takes over what all other instances have at a target and have seen of it.
-    pub fn hear_load(&mut self, cookie: Cookie, load: &TargetLoad, now: Millis) {
-        if let Some(known) = self.view.find(cookie) {
-            let number = known.target.number;
-            self.loads.hear(number, load.busy, load.flows, now);
-            self.health.hear(number, load.tally, now);
-        }
-    }
-
-    /// Returns whether targets owe answers and none has answered any request for a while, so
-    /// that this instance is likely cut off.
-    #[must_use]
-    pub fn is_deaf(&self, now: Millis) -> bool {
-        let (suspect, lost) = self.evidence.count(now);
-        let silent = self.evidence.any_alive();
-        lost >= 2 && suspect + lost >= 3 && silent.is_none_or(|at| now.since(at) > DEAF_AFTER)
-    }
-
-    /// Returns numbers for metrics.
-    #[must_use]
-    pub fn gauges(&self, now: Millis) -> Gauges {
-        let (suspect, lost) = self.evidence.count(now);
-        Gauges {
-            flows: self.flows.len(),
-            waiting: self.loads.waiting() as usize,
-            targets: self.view.present().count(),
-            suspect,
-            lost,
-            failing: self.health.failing(),
-        }
-    }
-
     fn service(&self, key: &FlowKey) -> Option<ServiceName> {
         let route = self.view.routes().find(key.service)?;
         route.service(key).cloned()
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -143,11 +143,16 @@
         }
     }
 
-    /// Returns the own mean of running requests and the own flows of each target.
-    pub fn own(&mut self, now: Millis) -> impl Iterator<Item = (TargetNumber, f64, f64)> {
+    /// Returns the own load of each target, without a tally.
+    pub fn own(&mut self, now: Millis) -> impl Iterator<Item = (TargetNumber, TargetLoad)> {
         self.own.iter_mut().map(move |(target, own)| {
             own.settle(now);
-            (*target, own.busy, f64::from(own.flows))
+            let load = TargetLoad {
+                busy: own.busy,
+                flows: f64::from(own.flows),
+                ..TargetLoad::default()
+            };
+            (*target, load)
         })
     }
 
--- a/crates/forward/src/route.rs
+++ b/crates/forward/src/route.rs
@@ -1,3 +1,5 @@
+//! Published routes: which service takes the new flows of an address.
+
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
--- a/crates/forward/src/segment.rs
+++ b/crates/forward/src/segment.rs
@@ -1,3 +1,5 @@
+//! A client's packet as far as decisions need it.
+
 use std::fmt;
 use std::hash::{BuildHasher as _, BuildHasherDefault, DefaultHasher};
 use std::net::SocketAddrV4;
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -1,3 +1,5 @@
+//! Published targets and the cookie that leads packets to them.
+
 use std::fmt;
 use std::net::SocketAddrV4;
 use std::str::FromStr;
--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -1,3 +1,5 @@
+//! The published targets and routes as this instance knows them, with their revisions.
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/forwarder/src/error.rs
+++ b/crates/forwarder/src/error.rs
@@ -1,3 +1,5 @@
+//! Errors of an instance.
+
 use std::fmt::Display;
 use std::net::SocketAddrV4;
 
