Read targets and routes at the same time after a start

Ruled out: the connection alone (11 to 31 ms of it); a peer's view (2.5 ms within a zone, but no peer has one yet).

Change: the routes are read on a connection of their own. The view is complete up to the older of both revisions, so that a configuration published between the calls is not missed; routes come into force after all targets, so that no flow is refused for want of targets; a failed call is the only one made again. Three tests with a scripted source guard these.

--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -11,6 +11,8 @@
 mod pages;
 mod peers;
 mod reader;
+#[cfg(test)]
+mod reader_tests;
 mod reload;
 mod report;
 mod run;
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -1,17 +1,22 @@
 //! Reads the store while this instance is its zone's hub.
 
+mod partial;
+mod publications;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt as _;
-use slog::{info, warn};
-use tanager_core::{FastSet, Millis};
-use tanager_forward::{Change, Role, RouteTable, TargetNumber};
+use slog::info;
+use tanager_forward::Role;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::instance::Instance;
-use crate::source::{Page, Publication, Source};
+use crate::source::Source;
 use crate::{Error, Result};
+use partial::Partial;
+use publications::{Detail, take_over};
 
 /// How long a watch waits for a change. Bounds the time in which a silent connection is noticed.
 const WATCH_WAIT: Duration = Duration::from_secs(1);
@@ -33,14 +38,8 @@
 const PROBE_PAUSE: Duration = Duration::from_secs(3);
 
 /// Reads the store until the process ends.
-pub async fn run<S: Source>(instance: Rc<Instance>) {
-    let mut reader = Reader {
-        store: S::connect(instance.store.get()),
-        whole: false,
-        partial: None,
-        failures: 0,
-        instance,
-    };
+pub async fn run<S: Source + 'static>(instance: Rc<Instance>) {
+    let mut reader = Reader::<S>::new(instance);
     loop {
         reader.follow_settings();
         if reader.instance.role() == Role::Leaf && !reader.is_probe_due().await {
@@ -51,40 +50,8 @@
     }
 }
 
-/// How changes of targets are logged.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Detail {
-    /// One line for each.
-    Each,
-    /// The caller logs how many there were. At a start there is one for each target of the fleet,
-    /// and small instances would write lines for half a second before they forward anything.
-    Summary,
-}
-
-/// A reading of everything that is not complete yet.
-struct Partial {
-    /// When its first call was made.
-    begun: Millis,
-    /// The revision of its first page.
-    revision: u64,
-    pages: u32,
-    items: usize,
-    listed: FastSet<TargetNumber>,
-}
-
-impl Partial {
-    fn new(first: &Page, begun: Millis) -> Self {
-        Self {
-            begun,
-            revision: first.reading.revision,
-            pages: 0,
-            items: 0,
-            listed: FastSet::default(),
-        }
-    }
-}
-
-struct Reader<S> {
+/// Reads the store for one instance.
+pub struct Reader<S> {
     instance: Rc<Instance>,
     store: S,
     /// Whether everything has to be read although a view is known.
@@ -94,10 +61,22 @@
     failures: u32,
 }
 
-impl<S: Source> Reader<S> {
+impl<S: Source + 'static> Reader<S> {
+    /// Creates a reader that has read nothing yet.
+    pub fn new(instance: Rc<Instance>) -> Self {
+        Self {
+            store: S::connect(instance.store.get()),
+            whole: false,
+            partial: None,
+            failures: 0,
+            instance,
+        }
+    }
+
     fn follow_settings(&mut self) {
         let address = self.instance.store.get();
         if address != self.store.address() {
+            self.partial = None;
             self.store = S::connect(address);
         }
     }
@@ -113,7 +92,8 @@
         true
     }
 
-    async fn read(&mut self) -> Result<bool> {
+    /// Reads everything, or what has changed since. Returns whether something was news.
+    pub async fn read(&mut self) -> Result<bool> {
         let revision = self.instance.forwarder.borrow().view().revision();
         if self.whole || revision == 0 {
             return self.read_all().await;
@@ -122,7 +102,7 @@
         let begun = self.instance.now();
         let reading = self.store.watch(revision, WATCH_WAIT).await?;
         let changed = !reading.items.is_empty();
-        self.apply(reading.items, Detail::Each);
+        take_over(&self.instance, reading.items, Detail::Each);
         let mut forwarder = self.instance.forwarder.borrow_mut();
         forwarder.advance(reading.revision);
         // A watch without changes was answered at the end of its wait.
@@ -131,34 +111,60 @@
         Ok(changed)
     }
 
-    /// Reads everything. Pages are used as they come; they are no snapshot, so the reading counts
-    /// as of its first one. A failed call is made again, and the reading then goes on.
+    /// Reads everything: targets page by page, and routes at the same time. Pages are used as they
+    /// come; they are no snapshot, so the reading counts as of its first one. A failed call is made
+    /// again, and the reading then goes on.
     async fn read_all(&mut self) -> Result<bool> {
-        loop {
-            let begun = self.instance.now();
+        let now = self.instance.now();
+        let mut partial = self.partial.take().unwrap_or_else(|| Partial::new(now));
+        if partial.routes.is_none() {
+            self.instance.reporter.counters.store_calls.add(1);
+            let mut store = S::connect(self.store.address());
+            partial.routes = Some(spawn_local(async move { store.read_routes().await }));
+        }
+        self.partial = Some(partial);
+        if !self.read_targets().await? {
+            self.restart_reading();
+            return Ok(false);
+        }
+        self.read_routes().await?;
+        Ok(true)
+    }
+
+    /// Reads the targets that have not been read yet. Returns whether all were, or a peer's view
+    /// came first.
+    async fn read_targets(&mut self) -> Result<bool> {
+        while self.partial.as_ref().is_some_and(|p| !p.targets) {
             let page = self.store.read_page().await?;
-            let whole = self
-                .partial
-                .get_or_insert_with(|| Partial::new(&page, begun));
-            whole.pages += 1;
-            whole.items += page.reading.items.len();
-            let targets = page.reading.items.iter().filter_map(target_of);
-            whole.listed.extend(targets);
-            let pages = whole.pages;
-            self.apply(page.reading.items, Detail::Summary);
+            let pages = self.partial.as_mut().map_or(0, |partial| {
+                partial.add(&page);
+                partial.pages
+            });
+            let more = page.more;
+            take_over(&self.instance, page.reading.items, Detail::Summary);
             self.instance.view_changed.notify_one();
-            if !page.more {
-                break;
-            }
-            if pages >= PAGES_ALONE && self.peer_reads().await {
-                self.restart_reading();
+            if more && pages >= PAGES_ALONE && self.peer_reads().await {
                 return Ok(false);
             }
         }
-        self.finish_reading();
         Ok(true)
     }
 
+    /// Takes over the routes and with them the whole reading. They come after all targets: a route
+    /// whose targets are not known would refuse its flows.
+    async fn read_routes(&mut self) -> Result<()> {
+        let Some(task) = self.partial.as_mut().and_then(|p| p.routes.take()) else {
+            return Ok(());
+        };
+        let routes = task.await.map_err(Error::answer)??;
+        let items = routes.items.len();
+        take_over(&self.instance, routes.items, Detail::Summary);
+        if let Some(partial) = self.partial.take() {
+            self.finish_reading(&partial, routes.revision, items);
+        }
+        Ok(())
+    }
+
     /// Gives up a reading of everything that is not complete: its first pages grow old.
     fn restart_reading(&mut self) {
         if self.partial.take().is_some() {
@@ -166,18 +172,17 @@
         }
     }
 
-    /// Takes a reading as complete.
-    fn finish_reading(&mut self) {
-        let Some(whole) = self.partial.take() else {
-            return;
-        };
+    /// Takes a reading as complete up to the older of its two revisions, so that the watch that
+    /// follows tells of all that came between both calls.
+    fn finish_reading(&mut self, targets: &Partial, routes: u64, count: usize) {
+        let revision = targets.revision.map_or(routes, |r| r.min(routes));
         let now = self.instance.now();
         let mut forwarder = self.instance.forwarder.borrow_mut();
-        let gone = forwarder.retain(|n| whole.listed.contains(&n), whole.revision, now);
-        forwarder.advance(whole.revision);
-        forwarder.verify(whole.begun);
-        info!(self.instance.reporter.log, "[store] read"; "revision" => whole.revision,
-            "items" => whole.items, "gone" => gone.len(),
+        let gone = forwarder.retain(|n| targets.listed.contains(&n), revision, now);
+        forwarder.advance(revision);
+        forwarder.verify(targets.begun);
+        info!(self.instance.reporter.log, "[store] read"; "revision" => revision,
+            "items" => targets.items + count, "gone" => gone.len(),
             "config" => forwarder.view().routes().version);
         self.whole = false;
     }
@@ -199,51 +204,6 @@
         false
     }
 
-    fn apply(&self, items: Vec<Publication>, detail: Detail) {
-        for item in items {
-            match item {
-                Publication::Target(change) => self.apply_target(change, detail),
-                Publication::Routes(routes) => self.apply_routes(routes),
-                Publication::Unusable {
-                    key,
-                    revision,
-                    target,
-                    reason,
-                } => {
-                    self.instance.reporter.counters.entries_skipped.increment();
-                    warn!(self.instance.reporter.log, "[store] entry skipped"; "key" => key,
-                        "revision" => revision, "error" => reason);
-                    // It no longer says anything of the target that it named.
-                    if let Some(number) = target {
-                        self.apply_target(Change::removal(number, revision), detail);
-                    }
-                }
-            }
-        }
-    }
-
-    fn apply_routes(&self, routes: RouteTable) {
-        let (version, count, revision) = (routes.version, routes.len(), routes.revision);
-        if self.instance.forwarder.borrow_mut().apply_routes(routes) {
-            info!(self.instance.reporter.log, "[catalogue] routes in force"; "config" => version,
-                "routes" => count, "revision" => revision);
-        }
-    }
-
-    fn apply_target(&self, change: Change, detail: Detail) {
-        let (number, revision) = (change.number, change.revision);
-        let state = match &change.target {
-            Some(target) if !change.removed => format!("{:?}", target.state),
-            _ => "removed".to_owned(),
-        };
-        let now = self.instance.now();
-        let news = self.instance.forwarder.borrow_mut().apply(change, now);
-        if news && detail == Detail::Each {
-            info!(self.instance.reporter.log, "[catalogue] target changed"; "target" => %number,
-                "state" => state, "revision" => revision);
-        }
-    }
-
     /// Notes how a call went and waits until the next one.
     async fn settle(&mut self, outcome: Result<bool>) {
         let calls = self.store.take_calls();
@@ -276,15 +236,6 @@
     }
 }
 
-/// Returns the target that a publication names, usable or not.
-fn target_of(item: &Publication) -> Option<TargetNumber> {
-    match item {
-        Publication::Target(change) => Some(change.number),
-        Publication::Unusable { target, .. } => *target,
-        Publication::Routes(_) => None,
-    }
-}
-
 /// Returns the pause after some failures in a row, with a random part so that instances do not
 /// call together.
 fn failure_pause(failures: u32) -> Duration {
--- /dev/null
+++ b/crates/forwarder/src/reader_tests.rs
@@ -0,0 +1,205 @@
+//! Readings of everything: targets and routes come on two connections at the same time.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tanager_core::{Clock, Incarnation};
+use tanager_forward::{
+    Change, Kind, Route, RouteTable, ServiceShare, Target, TargetNumber, TargetState,
+};
+use tanagerproxy::settings::ForwarderSettings;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::instance::Instance;
+use crate::reader::Reader;
+use crate::report::Reporter;
+use crate::source::{Page, Publication, Reading, Source};
+use crate::{Error, Result};
+
+const SETTINGS: &str = "\
+instance: {name: e-1, zone: a, capacity: \"0.5\"}
+listen:
+  clients: 127.0.0.1:8172
+  ready: 127.0.0.1:8167
+  views: 127.0.0.1:8166
+  beacons: 127.0.0.1:7720
+  metrics: 127.0.0.1:9464
+zones: [a]
+store: 127.0.0.1:8169
+log: {output: stdout, format: json, level: error}
+";
+/// Time that a page of targets takes in these tests.
+const PAGE_TIME: Duration = Duration::from_millis(20);
+
+/// Answers that the store gives, in order.
+#[derive(Default)]
+struct Script {
+    pages: VecDeque<Result<Page>>,
+    routes: VecDeque<Result<Reading>>,
+}
+
+thread_local! {
+    static SCRIPT: RefCell<Script> = RefCell::default();
+}
+
+/// A store that answers as scripted.
+struct ScriptedStore(SocketAddrV4);
+
+impl Source for ScriptedStore {
+    fn connect(address: SocketAddrV4) -> Self {
+        Self(address)
+    }
+
+    fn address(&self) -> SocketAddrV4 {
+        self.0
+    }
+
+    async fn read_page(&mut self) -> Result<Page> {
+        sleep(PAGE_TIME).await;
+        let page = SCRIPT.with_borrow_mut(|s| s.pages.pop_front());
+        page.expect("a scripted page")
+    }
+
+    async fn read_routes(&mut self) -> Result<Reading> {
+        let routes = SCRIPT.with_borrow_mut(|s| s.routes.pop_front());
+        routes.expect("scripted routes")
+    }
+
+    fn rewind(&mut self) {}
+
+    async fn watch(&mut self, _after: u64, _wait: Duration) -> Result<Reading> {
+        Err(Error::answer("no watch is scripted"))
+    }
+
+    fn take_calls(&mut self) -> u64 {
+        0
+    }
+}
+
+fn instance() -> Rc<Instance> {
+    let settings = ForwarderSettings::read(SETTINGS).expect("valid settings");
+    let clock = Clock::start();
+    let reporter = Reporter::try_new(&settings.log, clock).expect("a reporter");
+    Instance::new(settings, clock, reporter)
+}
+
+fn page(number: u64, revision: u64, more: bool) -> Page {
+    let target = Target {
+        number: TargetNumber::new(number),
+        service: "feeds".parse().expect("a name"),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9_000),
+        zone: "a".parse().expect("a name"),
+        slots: 2,
+        state: TargetState::Ready,
+        warmup: Duration::ZERO,
+        incarnation: Incarnation::new(1),
+    };
+    let change = Change::published(target, revision);
+    Page {
+        reading: Reading {
+            items: vec![Publication::Target(change)],
+            revision,
+        },
+        more,
+    }
+}
+
+fn routes(revision: u64) -> Reading {
+    let route = Route {
+        name: "r".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443),
+        kind: Kind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        priority: 1,
+        services: vec![ServiceShare {
+            service: "feeds".parse().expect("a name"),
+            weight: 1,
+        }],
+    };
+    let table = RouteTable::new(3, revision, Duration::from_secs(15), vec![route]);
+    Reading {
+        items: vec![Publication::Routes(table)],
+        revision,
+    }
+}
+
+/// Runs a test's body where tasks of one thread may be started.
+fn run<F: Future<Output = ()>>(body: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, body);
+}
+
+/// Guards against missing a configuration that was published between the two calls: the watch goes
+/// on from the view's revision.
+#[test]
+fn a_view_is_complete_up_to_the_older_of_both_readings() {
+    run(async {
+        let instance = instance();
+        SCRIPT.with_borrow_mut(|s| {
+            s.pages.push_back(Ok(page(1, 7, false)));
+            s.routes.push_back(Ok(routes(5)));
+        });
+
+        Reader::<ScriptedStore>::new(Rc::clone(&instance))
+            .read()
+            .await
+            .expect("a reading");
+
+        let forwarder = instance.forwarder.borrow();
+        assert_eq!(forwarder.view().revision(), 5);
+        assert!(forwarder.view().is_usable());
+    });
+}
+
+/// Guards against refusing flows because their route is known before its targets are.
+#[test]
+fn routes_are_in_force_after_all_targets() {
+    run(async {
+        let instance = instance();
+        SCRIPT.with_borrow_mut(|s| {
+            s.pages.push_back(Ok(page(1, 7, true)));
+            s.pages.push_back(Ok(page(2, 7, false)));
+            s.routes.push_back(Ok(routes(7)));
+        });
+        let mut reader = Reader::<ScriptedStore>::new(Rc::clone(&instance));
+
+        let reading = spawn_local(async move { reader.read().await });
+        sleep(PAGE_TIME + PAGE_TIME / 2).await;
+        let early = instance.forwarder.borrow().view().routes().len();
+        let known = instance.forwarder.borrow().gauges(instance.now()).targets;
+        reading.await.expect("a task").expect("a reading");
+
+        assert_eq!((early, known), (0, 1));
+        assert_eq!(instance.forwarder.borrow().view().routes().len(), 1);
+    });
+}
+
+/// Guards against reading all targets again because the call for the routes failed.
+#[test]
+fn a_failed_call_is_the_only_one_that_is_made_again() {
+    run(async {
+        let instance = instance();
+        SCRIPT.with_borrow_mut(|s| {
+            s.pages.push_back(Ok(page(1, 7, false)));
+            s.routes.push_back(Err(Error::answer("lost")));
+            s.routes.push_back(Ok(routes(8)));
+        });
+        let mut reader = Reader::<ScriptedStore>::new(Rc::clone(&instance));
+
+        let first = reader.read().await;
+        let usable = instance.forwarder.borrow().view().is_usable();
+        let second = reader.read().await;
+
+        assert!(first.is_err() && !usable);
+        assert!(second.is_ok(), "{second:?}");
+        assert_eq!(instance.forwarder.borrow().view().revision(), 7);
+    });
+}
--- a/crates/forwarder/src/source.rs
+++ b/crates/forwarder/src/source.rs
@@ -36,7 +36,7 @@
     pub revision: u64,
 }
 
-/// A part of everything that is published.
+/// A part of all published targets.
 #[derive(Debug)]
 pub struct Page {
     /// What it contains, as of its revision.
@@ -53,10 +53,12 @@
     /// Returns the address that is read.
     fn address(&self) -> SocketAddrV4;
 
-    /// Reads the next page of everything that is published: targets first, since open flows need
-    /// them, and routes last, since there may be many. After the last page it begins anew.
+    /// Reads the next page of the published targets. After the last page it begins anew.
     fn read_page(&mut self) -> impl Future<Output = Result<Page>>;
 
+    /// Reads the published routes.
+    fn read_routes(&mut self) -> impl Future<Output = Result<Reading>>;
+
     /// Begins anew with the first page.
     fn rewind(&mut self);
 
