Keep each beacon within one packet

Cause: with failed requests in it, a hub's beacon of a large fleet had 1,794 bytes, which networks split into two packets; one that is lost loses both. Found by reading the diff; a test with 120 instances and 200 busy targets failed.

Change: answers are counted in quarters of a request (one byte each), and a beacon names 104 targets instead of 128, failing ones first. At most 1,472 bytes. One lifetime of reports for loads and failures.

--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -42,7 +42,7 @@
     pub const BUSY_UNIT: f64 = 0.01;
 
     /// The smallest part of a request that is told apart in counts of ended ones.
-    pub const ANSWER_UNIT: f64 = 0.1;
+    pub const ANSWER_UNIT: f64 = 0.25;
 
     /// Creates a report, unless there is nothing to tell. Loads beyond the range count as its
     /// end.
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -7,6 +7,7 @@
 use tanager_core::{FastMap, Millis};
 
 use crate::TargetNumber;
+use crate::load::REPORT_LIFETIME;
 use crate::segment::Endpoint;
 
 /// Time over which sound answers are remembered, each counting less as it grows older. Short, so
@@ -14,8 +15,6 @@
 const SOUND_MEMORY: Duration = Duration::from_secs(1);
 /// Time over which failures are remembered. Longer, so that a target is not tried again at once.
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
-/// Reports of peers older than this are not used.
-const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 /// Answers of a route that must be known before a short one is told from them.
 const USUAL_ANSWERS: u32 = 12;
 /// An answer shorter than this part of the route's usual ones, and than [`ERROR_LENGTH`], counts
@@ -129,7 +128,7 @@
     usual: FastMap<Endpoint, Usual>,
     own: FastMap<TargetNumber, Dated>,
     others: FastMap<TargetNumber, Dated>,
-    /// Targets that were last logged as failing.
+    /// Targets that were last logged as failing. Invariant: no target twice.
     failing: Vec<TargetNumber>,
 }
 
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -10,7 +10,7 @@
 /// Time over which the mean number of running requests is taken.
 const AVERAGE_TIME: Duration = Duration::from_secs(1);
 /// Reports of peers older than this are not used.
-const REPORT_LIFETIME: Duration = Duration::from_secs(3);
+pub const REPORT_LIFETIME: Duration = Duration::from_secs(3);
 
 #[derive(Debug, Clone, Default)]
 struct Own {
--- a/crates/forward/src/membership/loads.rs
+++ b/crates/forward/src/membership/loads.rs
@@ -5,8 +5,9 @@
 use super::{MEMBER_LIFETIME, Member, Membership, Role};
 use crate::{Cookie, LoadReport, TargetLoad};
 
-/// Loads of one beacon at most; in larger fleets failing targets and the busiest are reported.
-const LOAD_LIMIT: usize = 128;
+/// Loads of one beacon at most, so that it fits into one packet; in larger fleets failing targets
+/// and the busiest are reported.
+const LOAD_LIMIT: usize = 104;
 
 impl Membership {
     /// Returns the load that a hub speaks for: its zone's, for its zone also the other zones'.
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -10,6 +10,8 @@
 use tanager_core::{Incarnation, Millis};
 use tanager_forward::{Cookie, LoadReport, Membership, OwnInstance, Role, Tally, TargetLoad};
 
+/// Bytes of a datagram that an Ethernet frame of 1,500 bytes carries.
+const UDP_PAYLOAD: usize = 1_472;
 /// A view age that casts no doubt.
 const FRESH: Option<Duration> = Some(Duration::from_millis(500));
 
@@ -198,3 +200,27 @@
     assert_eq!(other.verified(5), None);
     assert_eq!(other.newer_view(0, at(10)), None);
 }
+
+/// Guards against beacons that networks have to split: a part that is lost loses the whole.
+#[test]
+fn a_beacon_of_a_large_fleet_fits_into_one_packet() {
+    let mut hub = member(1, 0, 500);
+    for host in 2..=120 {
+        let mut other = member(host, host % 4, 38 + u16::from(host));
+        send(&mut other, &mut hub, 1, &[], at(0));
+    }
+    let tally = Tally {
+        sound: 30.0,
+        failures: 2.0,
+    };
+    let busy = TargetLoad {
+        tally,
+        ..load(3.0, 150.0)
+    };
+    let loads: Vec<_> = (0..200).map(|n| report(u32::MAX - n, busy)).collect();
+
+    let beacon = hub.beacon(address(2), Role::Hub, (1 << 40, FRESH), &loads, at(0));
+
+    let bytes = postcard::to_stdvec(&beacon).expect("a beacon");
+    assert!(bytes.len() <= UDP_PAYLOAD, "{} bytes", bytes.len());
+}
