--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -25,7 +25,8 @@
 const ERROR_LENGTH: f64 = 512.0;
 /// How far one answer moves the usual length, as a part of it.
 const USUAL_STEP: f64 = 0.05;
-/// Sound answers that each target is credited with, so that one failure does not decide alone.
+/// Sound answers that each target is credited with, so that a single failure without any answer
+/// counts as half of the requests.
 const CREDIT: f64 = 1.0;
 /// Part of failed requests above which a target counts as failing. Less is taken as chance:
 /// clients that leave early, and short answers.
@@ -35,7 +36,7 @@
 
 /// How a request ended, as far as its client's packets show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
+enum Outcome {
     /// An answer of a usual length came.
     Answered,
     /// No answer came, or a very short one.
