Reset a request with the repetition that makes its target lost

Cause: a target that vanishes is lost to an instance after misses of two flows or three of one. The third repetition of one request comes 1.4 s after it, 1.2 s after the first miss, and the packet that tries a lost target again is due 1 s after the first miss. So the repetition that made the target lost was let through as a trial, and the client's next one came at 3.0 s, after the deadline of 2.5 s. In a large fleet nearly every request on an open flow is alone at its target and instance.

Change: packets that reach a target before it counts as lost are trials, also the one that makes it lost. The next trial is 1 s later. The test fails first with a forwarded third repetition.

Conclusion: such requests are now served late instead of never. To serve them in time, a target must be known as lost sooner, from what all instances see.

--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -69,6 +69,7 @@
     last_flow: Option<FlowKey>,
     first_miss: Millis,
     last_miss: Millis,
+    /// When it last got a packet that shows whether it is back.
     last_trial: Millis,
     /// The standing that was last reported.
     told: Option<Standing>,
@@ -113,7 +114,9 @@
         let record = self.records.entry(target).or_default();
         if record.misses == 0 {
             record.first_miss = now;
-            // Packets under way tell enough for now.
+        }
+        if record.standing(now) != Standing::Lost {
+            // Packets that still reach it tell enough for now, also the one that makes it lost.
             record.last_trial = now;
         }
         record.misses += 1;
--- a/crates/forward/tests/vanished_target.rs
+++ b/crates/forward/tests/vanished_target.rs
@@ -23,6 +23,14 @@
     panic!("20 feeds at different targets");
 }
 
+/// Opens a feed at another target than a client's.
+fn feed_elsewhere(forwarder: &mut Forwarder, client: &Client) -> Client {
+    (1..20)
+        .map(|port| open_flow(forwarder, port, FEED_PORT, at(0)))
+        .find(|feed| feed.cookie != client.cookie)
+        .expect("a feed at another target")
+}
+
 /// Makes a target silent to both feeds until it counts as lost, at 500 ms.
 fn lose(forwarder: &mut Forwarder, one: &mut Client, two: &mut Client) {
     one.send(forwarder, 100, at(100));
@@ -52,6 +60,24 @@
     );
 }
 
+/// Guards against taking the packet that makes a target lost for the one that tries it again: the
+/// client would then wait for the next repetition, after its deadline.
+#[test]
+fn a_request_without_company_is_reset_with_its_third_repetition() {
+    let mut forwarder = forwarder(3);
+    let mut live = open_flow(&mut forwarder, 900, ORDER_PORT, at(0));
+    let mut feed = feed_elsewhere(&mut forwarder, &live);
+    feed.send(&mut forwarder, 100, at(100));
+    feed.resend(&mut forwarder, 100, at(300));
+    feed.resend(&mut forwarder, 100, at(700));
+    live.send(&mut forwarder, 100, at(1_400));
+    live.acknowledge(&mut forwarder, 100, at(1_450));
+
+    let third = feed.resend(&mut forwarder, 100, at(1_500));
+
+    assert!(matches!(third, Action::Reset { .. }), "{third:?}");
+}
+
 /// Guards against ending a request that must not run twice while its answer may still come.
 #[test]
 fn orders_at_a_lost_target_go_on_until_it_is_removed() {
