Count silent targets over all instances

Cause: an instance took a target for lost after repeated packets of two flows, or three of one.

Ruled out: a lower threshold of misses at one instance. Three packets in a row are lost by chance on lossy paths, and a reset of a living target's flow breaks a promise. A veto by the age of the last sign of life anywhere: reports are up to 0.8 s old, so it would have to wait that long.

Change: requests that their clients repeat, once each, and openings that another target answers are counted per target as misses, beside sound answers and failures, and travel in beacons. A target with three misses and more that are also over half of all outcomes counts as lost, unless this instance heard it within 500 ms. An instance that has heard no target since a request began tells nothing of it. When a target becomes lost, requests that may run again and that their clients have repeated are reset at once, not with the client's next packet. A beacon carries 95 targets instead of 104, to stay within one packet. The log line of a changed standing tells what all instances have seen.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -34,14 +34,14 @@
     Drop(DropReason),
 }
 
-/// A packet that was kept and is to be handled now.
+/// A packet that was kept, or a flow that is to be reset without one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Due {
     /// Its flow.
     pub flow: FlowKey,
     /// What to do with it.
     pub action: Action,
-    /// The packet as the client sent it.
+    /// The packet as the client sent it; empty if there is none.
     pub packet: Vec<u8>,
 }
 
--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -35,6 +35,8 @@
     sound: u16,
     /// Failed requests in the same unit.
     failures: u16,
+    /// Requests and openings that the target did not take, in the same unit.
+    misses: u16,
 }
 
 impl LoadReport {
@@ -54,10 +56,16 @@
             flows: units(load.flows, 1.0),
             sound: units(load.tally.sound, Self::ANSWER_UNIT),
             failures: units(load.tally.failures, Self::ANSWER_UNIT),
+            misses: units(load.tally.misses, Self::ANSWER_UNIT),
         };
-        let empty =
-            report.busy == 0 && report.flows == 0 && report.sound == 0 && report.failures == 0;
-        (!empty).then_some(report)
+        let numbers = [
+            report.busy,
+            report.flows,
+            report.sound,
+            report.failures,
+            report.misses,
+        ];
+        numbers.iter().any(|n| *n != 0).then_some(report)
     }
 
     /// Returns what is reported.
@@ -69,14 +77,15 @@
             tally: Tally {
                 sound: f64::from(self.sound) * Self::ANSWER_UNIT,
                 failures: f64::from(self.failures) * Self::ANSWER_UNIT,
+                misses: f64::from(self.misses) * Self::ANSWER_UNIT,
             },
         }
     }
 
-    /// Orders reports by what a receiver misses most: failures, then load.
+    /// Orders reports by what a receiver misses most: failures of any kind, then load.
     #[must_use]
     pub fn weight(&self) -> (u16, u16) {
-        (self.failures, self.busy)
+        (self.failures.saturating_add(self.misses), self.busy)
     }
 }
 
--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::{FastMap, Millis};
 
+use crate::health::{Health, Tally};
 use crate::{FlowKey, TargetNumber};
 
 /// Time from the first miss in which nothing was heard, after which a target counts as lost.
@@ -16,6 +17,8 @@
 const LOST_MISSES: u32 = 3;
 /// Flows with misses after which their target counts as lost.
 const LOST_FLOWS: u32 = 2;
+/// A sign of life that is this young goes before what peers report, which may be older.
+const HEARD_LATELY: Duration = Duration::from_millis(500);
 /// How long a miss counts. A target that has answered nothing since then gets work again, to see
 /// whether it is back.
 const MISS_LIFETIME: Duration = Duration::from_secs(3);
@@ -44,7 +47,7 @@
 }
 
 /// A target that is believed in another state than before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StandingChange {
     /// The target.
     pub target: TargetNumber,
@@ -54,6 +57,8 @@
     pub misses: u32,
     /// Time since the last sign of life; `None` if there was none.
     pub silent: Option<Duration>,
+    /// What all instances have seen.
+    pub tally: Tally,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -137,11 +142,17 @@
         }
     }
 
-    /// Returns what is believed about a target.
-    pub fn standing(&self, target: TargetNumber, now: Millis) -> Standing {
-        self.records
-            .get(&target)
-            .map_or(Standing::Sound, |record| record.standing(now))
+    /// Notes that a target is known to peers, so that what they tell of it is reported.
+    pub fn know(&mut self, target: TargetNumber) {
+        self.records.entry(target).or_default();
+    }
+
+    /// Returns what is believed about a target, also from what peers have seen.
+    pub fn standing(&self, target: TargetNumber, health: &Health, now: Millis) -> Standing {
+        let record = self.records.get(&target);
+        record.map_or(Standing::Sound, |record| {
+            record.with_peers(health.is_silent(target, now), now)
+        })
     }
 
     /// Returns whether a lost target is due for a packet that shows whether it is back, and
@@ -169,10 +180,10 @@
     }
 
     /// Returns the targets whose standing has changed since the last call.
-    pub fn changes(&mut self, now: Millis) -> Vec<StandingChange> {
+    pub fn changes(&mut self, health: &Health, now: Millis) -> Vec<StandingChange> {
         let mut changed = Vec::new();
         for (target, record) in &mut self.records {
-            let standing = record.standing(now);
+            let standing = record.with_peers(health.is_silent(*target, now), now);
             if record.told.unwrap_or(Standing::Sound) != standing {
                 record.told = Some(standing);
                 let silent = record.alive.map(|at| now.since(at));
@@ -181,6 +192,7 @@
                     standing,
                     misses: record.misses,
                     silent,
+                    tally: health.tally(*target, now),
                 });
             }
         }
@@ -203,6 +215,17 @@
 }
 
 impl Record {
+    /// Returns what is believed of a target that is silent to all instances, or is not.
+    fn with_peers(&self, silent: bool, now: Millis) -> Standing {
+        let heard = |at: Millis| now.since(at) < HEARD_LATELY;
+        if silent && !self.alive.is_some_and(heard) {
+            Standing::Lost
+        } else {
+            self.standing(now)
+        }
+    }
+
+    /// Returns what this instance alone would believe.
     fn standing(&self, now: Millis) -> Standing {
         let recent = |at: Millis| now.since(at) < MISS_LIFETIME;
         let missed = self.misses > 0 && recent(self.last_miss);
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -25,6 +25,8 @@
     pub begun: Millis,
     /// Whether it still counts as load of its target.
     pub counted: bool,
+    /// Whether the client has repeated it.
+    pub repeated: bool,
 }
 
 /// A request whose answer is still to be judged.
@@ -153,6 +155,7 @@
             flow.request = Some(Request {
                 begun: now,
                 counted: true,
+                repeated: false,
             });
             self.running.push_back((now, key));
         }
@@ -205,6 +208,17 @@
         None
     }
 
+    /// Returns the flows, with their targets, whose clients have repeated a request to one of
+    /// these targets.
+    pub fn waiting_at(&self, targets: &[TargetNumber]) -> Vec<(FlowKey, TargetNumber)> {
+        let waits = |f: &Flow| f.request.is_some_and(|r| r.repeated);
+        let flows = self.records.iter();
+        flows
+            .filter(|(_, f)| waits(f) && targets.contains(&f.target))
+            .map(|(key, f)| (*key, f.target))
+            .collect()
+    }
+
     /// Returns the number of flows.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -6,6 +6,7 @@
 mod news;
 mod open;
 mod reports;
+mod resets;
 
 use std::time::Duration;
 
@@ -45,6 +46,8 @@
     held_at: u64,
     evidence: Evidence,
     health: Health,
+    /// Targets that became lost and whose waiting requests have not been looked at.
+    newly_lost: Vec<TargetNumber>,
     loads: Loads,
     rng: StdRng,
     events: Vec<Event>,
@@ -65,6 +68,7 @@
             held_at: 0,
             evidence: Evidence::default(),
             health: Health::default(),
+            newly_lost: Vec::new(),
             loads: Loads::default(),
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
@@ -101,11 +105,12 @@
         self.openings.next_due()
     }
 
-    /// Returns packets that were kept and are to be handled now: those that waited for a newer
-    /// view, and opening packets whose target is silent.
+    /// Returns what is due now: packets that waited for a newer view, opening packets whose
+    /// target is silent, and resets of flows that wait for a lost target.
     pub fn take_due(&mut self, now: Millis) -> Vec<Due> {
         let mut due = self.release_held(now);
         self.replace_silent(&mut due, now);
+        self.reset_waiting(&mut due, now);
         self.judge_overdue(now);
         due
     }
--- a/crates/forward/src/forwarder/carry.rs
+++ b/crates/forward/src/forwarder/carry.rs
@@ -6,13 +6,8 @@
 
 use super::{EVENT_LIMIT, Forwarder};
 use crate::flows::Flow;
-use crate::{
-    Action, Cookie, DropReason, FlowKey, Kind, ResetReason, Segment, SegmentKind, Standing,
-    TargetNumber,
-};
+use crate::{Action, Cookie, DropReason, Segment, SegmentKind};
 
-/// Time after a draining target's removal from which its flows are reset.
-const GONE_AFTER: Duration = Duration::from_millis(500);
 /// Time after which data that comes again was repeated, and not overtaken on its way. Clients wait
 /// 200 ms.
 const RESEND_TIME: Duration = Duration::from_millis(150);
@@ -79,7 +74,9 @@
         flow.open = true;
         flow.acknowledged = segment.acknowledged;
         self.loads.opened(target, now);
-        self.openings.answer(&key, target, now);
+        for silent in self.openings.answer(&key, target, now) {
+            self.health.miss(silent, now);
+        }
         if segment.kind != SegmentKind::Abort {
             self.evidence.alive(target, now);
         }
@@ -118,41 +115,23 @@
                 self.loads.begin(target, now);
             }
             self.watch_answer(key, now);
-        } else if let Some(request) = flow.request
+        } else if let Some(request) = &mut flow.request
             && now.since(request.begun) >= RESEND_TIME
         {
             // The target is silent, which is another fault than a missing answer.
             flow.watched = None;
+            let first = !std::mem::replace(&mut request.repeated, true);
+            // Peers are told only of what is not this instance's own silence.
+            let hears = self
+                .evidence
+                .any_alive()
+                .is_some_and(|at| at > request.begun);
+            if first && hears {
+                self.health.miss(target, now);
+            }
             self.evidence.miss(target, key, now);
         }
     }
-
-    /// Returns why a flow with a request under way should end now, if it should.
-    fn reset_reason(
-        &mut self,
-        key: &FlowKey,
-        target: TargetNumber,
-        now: Millis,
-    ) -> Option<ResetReason> {
-        let known = self.view.get(target)?;
-        let removed = known.removed;
-        let quiet_since = |at: Millis| self.evidence.last_alive(target).is_none_or(|l| l < at);
-        if known.has_left()
-            && removed.is_some_and(|at| now.since(at) >= GONE_AFTER && quiet_since(at))
-        {
-            return Some(ResetReason::TargetGone);
-        }
-        if self.evidence.standing(target, now) != Standing::Lost || self.is_deaf(now) {
-            return None;
-        }
-        // A request that must not run twice may still be answered while its target is listed.
-        let kind = self.view.routes().find(key.service).map(|r| r.kind);
-        if kind != Some(Kind::Idempotent) && removed.is_none() {
-            return None;
-        }
-        let trial = self.evidence.take_trial(target, now);
-        (!trial).then_some(ResetReason::TargetLost)
-    }
 }
 
 /// Returns whether a position in a wrapping stream is after another one.
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -7,9 +7,6 @@
 use super::Forwarder;
 use crate::{Cookie, Event, LoadReport, TargetLoad};
 
-/// Time without a sign of life of any target after which the fault is likely on this side.
-const DEAF_AFTER: Duration = Duration::from_secs(1);
-
 /// Numbers that metrics show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Gauges {
@@ -30,9 +27,7 @@
 impl Forwarder {
     /// Returns decisions and changed beliefs since the last call.
     pub fn take_events(&mut self, now: Millis) -> Vec<Event> {
-        for change in self.evidence.changes(now) {
-            self.note(Event::Standing(change));
-        }
+        self.note_standings(now);
         std::mem::take(&mut self.events)
     }
 
@@ -57,18 +52,10 @@
             let number = known.target.number;
             self.loads.hear(number, load.busy, load.flows, now);
             self.health.hear(number, load.tally, now);
+            self.evidence.know(number);
         }
     }
 
-    /// Returns whether targets owe answers and none has answered any request for a while, so
-    /// that this instance is likely cut off.
-    #[must_use]
-    pub fn is_deaf(&self, now: Millis) -> bool {
-        let (suspect, lost) = self.evidence.count(now);
-        let silent = self.evidence.any_alive();
-        lost >= 2 && suspect + lost >= 3 && silent.is_none_or(|at| now.since(at) > DEAF_AFTER)
-    }
-
     /// Returns numbers for metrics.
     #[must_use]
     pub fn gauges(&self, now: Millis) -> Gauges {
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -1,6 +1,7 @@
-//! Which targets fail requests although they take packets. Published health may be wrong, and
-//! answers do not pass through an instance, but clients acknowledge them: an answer that is much
-//! shorter than its route's usual ones is most likely an error, and one that never comes a hang.
+//! Which targets fail requests although they take packets, and which are silent to all instances.
+//! Published health may be wrong, and answers do not pass through an instance, but clients
+//! acknowledge them: an answer that is much shorter than its route's usual ones is most likely an
+//! error, one that never comes a hang, and a packet that the client repeats was not taken at all.
 
 use std::time::Duration;
 
@@ -33,6 +34,10 @@
 pub const FAILING_RATE: f64 = 0.15;
 /// Part of failed requests below which a failing target is logged as sound again.
 const SOUND_RATE: f64 = 0.08;
+/// Misses on all instances from which a target may count as silent. Fewer may be lost packets.
+const SILENT_MISSES: f64 = 3.0;
+/// Part of misses above which a target counts as silent. Lossy paths have a fraction of that.
+const SILENT_RATE: f64 = 0.5;
 
 /// How a request ended, as far as its client's packets show.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,25 +48,52 @@
     Failed,
 }
 
-/// How requests to a target ended. Both numbers shrink as they grow old.
+/// How requests to a target ended. All numbers shrink as they grow old.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Tally {
     /// Sound answers.
     pub sound: f64,
     /// Failed requests.
     pub failures: f64,
+    /// Requests and openings that the target did not even take.
+    pub misses: f64,
 }
 
 impl Tally {
+    const ANSWERED: Self = Self {
+        sound: 1.0,
+        failures: 0.0,
+        misses: 0.0,
+    };
+    const FAILED: Self = Self {
+        sound: 0.0,
+        failures: 1.0,
+        misses: 0.0,
+    };
+    const MISSED: Self = Self {
+        sound: 0.0,
+        failures: 0.0,
+        misses: 1.0,
+    };
+
     /// Returns the part of requests that failed.
     fn rate(self) -> f64 {
         self.failures / (self.sound + self.failures + CREDIT)
     }
 
-    fn add(self, other: Self) -> Self {
+    /// Returns whether the target has most likely stopped taking packets.
+    fn is_silent(self) -> bool {
+        let all = self.sound + self.failures + self.misses + CREDIT;
+        self.misses >= SILENT_MISSES && self.misses > all * SILENT_RATE
+    }
+
+    /// Returns the sum with a part of another tally, which may be negative.
+    pub(crate) fn plus(self, other: Self, part: f64) -> Self {
+        let sum = |a: f64, b: f64| (a + b * part).max(0.0);
         Self {
-            sound: self.sound + other.sound,
-            failures: self.failures + other.failures,
+            sound: sum(self.sound, other.sound),
+            failures: sum(self.failures, other.failures),
+            misses: sum(self.misses, other.misses),
         }
     }
 
@@ -71,6 +103,7 @@
         Self {
             sound: self.sound * left(SOUND_MEMORY),
             failures: self.failures * left(FAILURE_MEMORY),
+            misses: self.misses * left(FAILURE_MEMORY),
         }
     }
 }
@@ -136,20 +169,22 @@
 impl Health {
     /// Judges an answer to a request that came to a route's address, and counts it.
     pub fn count(&mut self, target: TargetNumber, route: Endpoint, length: u32, now: Millis) {
-        let outcome = self.judge(route, length);
-        let own = self.own.entry(target).or_default();
-        let one = match outcome {
-            Outcome::Answered => Tally {
-                sound: 1.0,
-                failures: 0.0,
-            },
-            Outcome::Failed => Tally {
-                sound: 0.0,
-                failures: 1.0,
-            },
+        let one = match self.judge(route, length) {
+            Outcome::Answered => Tally::ANSWERED,
+            Outcome::Failed => Tally::FAILED,
         };
+        self.add(target, one, now);
+    }
+
+    /// Counts a request or an opening that a target did not take.
+    pub fn miss(&mut self, target: TargetNumber, now: Millis) {
+        self.add(target, Tally::MISSED, now);
+    }
+
+    fn add(&mut self, target: TargetNumber, tally: Tally, now: Millis) {
+        let own = self.own.entry(target).or_default();
         *own = Dated {
-            tally: own.now(now).add(one),
+            tally: own.now(now).plus(tally, 1.0),
             at: now,
         };
     }
@@ -175,11 +210,18 @@
         self.tally(target, now).rate()
     }
 
-    fn tally(&self, target: TargetNumber, now: Millis) -> Tally {
+    /// Returns whether a target has most likely stopped taking packets, by what all instances
+    /// have seen.
+    pub fn is_silent(&self, target: TargetNumber, now: Millis) -> bool {
+        self.tally(target, now).is_silent()
+    }
+
+    /// Returns what all instances have seen of a target.
+    pub fn tally(&self, target: TargetNumber, now: Millis) -> Tally {
         let others = self.others.get(&target);
         let others = others.filter(|o| now.since(o.at) < REPORT_LIFETIME);
         let others = others.map_or_else(Tally::default, |o| o.now(now));
-        self.own(target, now).add(others)
+        self.own(target, now).plus(others, 1.0)
     }
 
     /// Returns what this instance has seen of a target itself, for peers.
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -54,13 +54,12 @@
 }
 
 impl TargetLoad {
-    /// Adds another load, or takes it away.
-    pub(crate) fn add(&mut self, other: &Self, sign: f64) {
-        let sum = |a: f64, b: f64| (a + b * sign).max(0.0);
+    /// Adds a part of another load, which may be negative.
+    pub(crate) fn add(&mut self, other: &Self, part: f64) {
+        let sum = |a: f64, b: f64| (a + b * part).max(0.0);
         self.busy = sum(self.busy, other.busy);
         self.flows = sum(self.flows, other.flows);
-        self.tally.sound = sum(self.tally.sound, other.tally.sound);
-        self.tally.failures = sum(self.tally.failures, other.tally.failures);
+        self.tally = self.tally.plus(other.tally, part);
     }
 }
 
--- a/crates/forward/src/membership/loads.rs
+++ b/crates/forward/src/membership/loads.rs
@@ -7,7 +7,7 @@
 
 /// Loads of one beacon at most, so that it fits into one packet; in larger fleets failing targets
 /// and the busiest are reported.
-const LOAD_LIMIT: usize = 104;
+const LOAD_LIMIT: usize = 95;
 
 impl Membership {
     /// Returns the load that a hub speaks for: its zone's, for its zone also the other zones'.
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -105,7 +105,7 @@
         rng: &mut StdRng,
     ) -> Vec<&'k Known> {
         let near = candidates.clone().filter(|k| {
-            let standing = self.evidence.standing(k.target.number, self.now);
+            let standing = self.standing(k);
             k.target.zone == *self.zone && standing == Standing::Sound
         });
         let mut sample = near.sample(rng, SAMPLE);
@@ -113,6 +113,11 @@
         sample
     }
 
+    fn standing(&self, known: &Known) -> Standing {
+        self.evidence
+            .standing(known.target.number, self.health, self.now)
+    }
+
     /// Returns the mean number of flows over the targets.
     fn mean_flows(&self, candidates: &[&Known]) -> f64 {
         let flows = |k: &&Known| self.loads.get(k.target.number, self.now).flows;
@@ -143,7 +148,7 @@
         }
         let failures = self.health.failure_rate(target.number, self.now);
         total += FAILURE_LOAD * (failures - FAILING_RATE).max(0.0);
-        total += match self.evidence.standing(target.number, self.now) {
+        total += match self.standing(known) {
             Standing::Sound => 0.0,
             Standing::Suspect => SUSPECT_LOAD,
             Standing::Lost => LOST_LOAD,
--- a/crates/forward/tests/failing_targets.rs
+++ b/crates/forward/tests/failing_targets.rs
@@ -187,6 +187,7 @@
         tally: Tally {
             sound: 0.0,
             failures: 6.0,
+            ..Tally::default()
         },
         ..TargetLoad::default()
     };
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -136,27 +136,31 @@
     assert_eq!(of(&far, Role::Hub), (1.5, 15.0));
 }
 
-/// Guards against leaving a failing target out of a beacon that cannot name all targets: it is
-/// idle, since nobody who has seen it fail sends work there.
+/// Guards against leaving a failing or silent target out of a beacon that cannot name all
+/// targets: it is idle, since nobody who has seen it fail sends work there.
 #[test]
-fn a_beacon_names_failing_targets_before_busy_ones() {
+fn a_beacon_names_failing_and_silent_targets_before_busy_ones() {
     let mut hub = member(1, 0, 500);
     let mut leaf = member(2, 0, 38);
     let mut loads: Vec<_> = (1..=200).map(|n| report(n, load(3.0, 20.0))).collect();
-    let tally = Tally {
-        sound: 0.0,
+    let failing = Tally {
         failures: 4.0,
+        ..Tally::default()
     };
-    let failing = TargetLoad {
-        tally,
-        ..load(0.0, 1.0)
+    let silent = Tally {
+        misses: 4.0,
+        ..Tally::default()
     };
-    loads.push(report(999, failing));
+    for (number, tally) in [(999, failing), (1_000, silent)] {
+        let idle = load(0.0, 1.0);
+        loads.push(report(number, TargetLoad { tally, ..idle }));
+    }
 
     send(&mut hub, &mut leaf, 2, &loads, at(0));
 
     let heard = leaf.loads_of_others(Role::Leaf, at(10));
-    assert_eq!(heard[&Cookie::new(999)].tally, tally);
+    assert_eq!(heard[&Cookie::new(999)].tally, failing);
+    assert_eq!(heard[&Cookie::new(1_000)].tally, silent);
 }
 
 /// Guards against beacons whose number grows with the fleet for an ordinary instance.
@@ -212,6 +216,7 @@
     let tally = Tally {
         sound: 30.0,
         failures: 2.0,
+        misses: 20.0,
     };
     let busy = TargetLoad {
         tally,
--- a/crates/forward/tests/vanished_target.rs
+++ b/crates/forward/tests/vanished_target.rs
@@ -7,7 +7,7 @@
 };
 use common::{sent_to, target};
 use tanager_core::Incarnation;
-use tanager_forward::{Action, Delta, Event, Forwarder, ResetReason, TargetNumber};
+use tanager_forward::{Action, Delta, Due, Event, Forwarder, ResetReason, TargetNumber};
 
 /// Opens feeds until two are at the same target, and returns these.
 fn two_feeds(forwarder: &mut Forwarder) -> (Client, Client, TargetNumber) {
@@ -23,12 +23,12 @@
     panic!("20 feeds at different targets");
 }
 
-/// Opens a feed at another target than a client's.
-fn feed_elsewhere(forwarder: &mut Forwarder, client: &Client) -> Client {
-    (1..20)
-        .map(|port| open_flow(forwarder, port, FEED_PORT, at(0)))
-        .find(|feed| feed.cookie != client.cookie)
-        .expect("a feed at another target")
+/// Opens flows until one is at a wanted target.
+fn open_where(forwarder: &mut Forwarder, port: u16, wanted: impl Fn(&Client) -> bool) -> Client {
+    (1_000..1_100)
+        .map(|client_port| open_flow(forwarder, client_port, port, at(0)))
+        .find(wanted)
+        .expect("a flow at a wanted target")
 }
 
 /// Makes a target silent to both feeds until it counts as lost, at 500 ms.
@@ -60,13 +60,53 @@
     );
 }
 
+/// Guards against clients that wait for their next repetition although their target is known to
+/// be lost: the third comes after 1.4 s, beyond some deadlines.
+#[test]
+fn requests_that_wait_for_a_lost_target_are_reset_without_another_packet() {
+    let mut forwarder = forwarder(3);
+    let (mut one, mut two, _) = two_feeds(&mut forwarder);
+    lose(&mut forwarder, &mut one, &mut two);
+
+    let due = forwarder.take_due(at(520));
+
+    let resets = |feed: &Client| {
+        let sequence = feed.received;
+        let ended = |d: &&Due| d.flow == feed.flow && d.action == Action::Reset { sequence };
+        due.iter().filter(ended).count()
+    };
+    assert_eq!((resets(&one), resets(&two)), (1, 1), "{due:?}");
+}
+
+/// Guards against ending flows that wait for nothing, requests whose clients have not missed an
+/// answer yet, and requests that must not run twice.
+#[test]
+fn other_flows_of_a_lost_target_go_on() {
+    let mut forwarder = forwarder(3);
+    let (mut one, mut two, _) = two_feeds(&mut forwarder);
+    let here = one.cookie;
+    let mut young = open_where(&mut forwarder, FEED_PORT, |f| f.cookie == here);
+    let mut order = open_where(&mut forwarder, ORDER_PORT, |f| f.cookie == here);
+    order.send(&mut forwarder, 100, at(90));
+    order.resend(&mut forwarder, 100, at(290));
+    lose(&mut forwarder, &mut one, &mut two);
+    young.send(&mut forwarder, 100, at(490));
+
+    let due = forwarder.take_due(at(520));
+
+    let ended: Vec<_> = due.iter().map(|d| d.flow).collect();
+    assert!(!ended.contains(&young.flow), "{due:?}");
+    assert!(!ended.contains(&order.flow), "{due:?}");
+    assert_eq!(ended.len(), 2, "{due:?}");
+}
+
 /// Guards against taking the packet that makes a target lost for the one that tries it again: the
 /// client would then wait for the next repetition, after its deadline.
 #[test]
 fn a_request_without_company_is_reset_with_its_third_repetition() {
     let mut forwarder = forwarder(3);
     let mut live = open_flow(&mut forwarder, 900, ORDER_PORT, at(0));
-    let mut feed = feed_elsewhere(&mut forwarder, &live);
+    let mut feed = open_where(&mut forwarder, FEED_PORT, |f| f.cookie != live.cookie);
     feed.send(&mut forwarder, 100, at(100));
     feed.resend(&mut forwarder, 100, at(300));
     feed.resend(&mut forwarder, 100, at(700));
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -296,6 +296,8 @@
                 "target" => %change.target, "standing" => %change.standing,
                 "misses" => change.misses,
                 "silent_ms" => change.silent.map(millis),
+                "all_misses" => rounded(change.tally.misses),
+                "all_sound" => rounded(change.tally.sound),
                 "revision" => revision, "view_age_ms" => age_ms),
             Event::Health(change) => info!(self.log, "[forward] target health";
                 "target" => %change.target, "failing" => change.failing,
