--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -104,15 +104,30 @@
     }
 }
 
+/// Requests in the order in which they began.
+#[derive(Debug, Default)]
+struct Begun(VecDeque<(Millis, FlowKey)>);
+
+impl Begun {
+    fn push(&mut self, key: FlowKey, now: Millis) {
+        self.0.push_back((now, key));
+    }
+
+    /// Returns the next request that began `limit` ago or earlier, if there is one.
+    fn take(&mut self, limit: Duration, now: Millis) -> Option<(Millis, FlowKey)> {
+        self.0.pop_front_if(|(begun, _)| now.since(*begun) >= limit)
+    }
+}
+
 /// The flows of one instance.
 #[derive(Debug, Default)]
 pub struct Flows {
     /// Invariant: at most [`FLOW_LIMIT`] flows.
     records: FastMap<FlowKey, Flow>,
-    /// Begun requests that may still count as load, the oldest first.
-    running: VecDeque<(Millis, FlowKey)>,
-    /// Requests whose answers may still have to be judged, the oldest first.
-    watched: VecDeque<(Millis, FlowKey)>,
+    /// Requests that may still count as load.
+    running: Begun,
+    /// Requests whose answers may still have to be judged.
+    watched: Begun,
 }
 
 impl Flows {
@@ -157,17 +172,13 @@
                 counted: true,
                 repeated: false,
             });
-            self.running.push_back((now, key));
+            self.running.push(key, now);
         }
     }
 
     /// Returns the target of the next request that no longer counts as load, if there is one.
     pub fn take_overdue(&mut self, now: Millis) -> Option<TargetNumber> {
-        while let Some((begun, key)) = self.running.front().copied() {
-            if now.since(begun) < RUN_LIMIT {
-                return None;
-            }
-            self.running.pop_front();
+        while let Some((begun, key)) = self.running.take(RUN_LIMIT, now) {
             let Some(flow) = self.records.get_mut(&key) else {
                 continue;
             };
@@ -189,17 +200,13 @@
                 begun: now,
                 base: flow.acknowledged,
             });
-            self.watched.push_back((now, key));
+            self.watched.push(key, now);
         }
     }
 
     /// Returns the next flow whose answer is to be judged now, if there is one.
     pub fn take_unjudged(&mut self, now: Millis) -> Option<FlowKey> {
-        while let Some((begun, key)) = self.watched.front().copied() {
-            if now.since(begun) < ANSWER_LIMIT {
-                return None;
-            }
-            self.watched.pop_front();
+        while let Some((begun, key)) = self.watched.take(ANSWER_LIMIT, now) {
             let watched = self.records.get(&key).and_then(|f| f.watched);
             if watched.is_some_and(|w| w.begun == begun) {
                 return Some(key);
