Reset requests that a lost target had taken

Cause: a target that vanishes may have taken requests before. Their clients do not repeat them, so no packet shows that they wait, and they ended at their deadline.

Ruled out: resets of all flows of a lost target. Idle ones may outlive a wrong belief.

Change: when a target becomes lost, requests that may run again and have been under way for 200 ms are reset whether or not their clients repeated them. The unit test fails first.

--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -18,6 +18,9 @@
 /// within 50 ms, and a sound target with a full queue answers in less than 200 ms.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
 
+/// Time in which most answers are acknowledged. Clients repeat their data after 200 ms.
+const USUAL_ANSWER_LIMIT: Duration = Duration::from_millis(200);
+
 /// A request whose answer has not been acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Request {
@@ -215,10 +218,17 @@
         None
     }
 
-    /// Returns the flows, with their targets, whose clients have repeated a request to one of
-    /// these targets.
-    pub fn waiting_at(&self, targets: &[TargetNumber]) -> Vec<(FlowKey, TargetNumber)> {
-        let waits = |f: &Flow| f.request.is_some_and(|r| r.repeated);
+    /// Returns the flows, with their targets, whose requests to one of these targets should have
+    /// been answered.
+    pub fn waiting_at(
+        &self,
+        targets: &[TargetNumber],
+        now: Millis,
+    ) -> Vec<(FlowKey, TargetNumber)> {
+        let waits = |f: &Flow| {
+            f.request
+                .is_some_and(|r| now.since(r.begun) >= USUAL_ANSWER_LIMIT)
+        };
         let flows = self.records.iter();
         flows
             .filter(|(_, f)| waits(f) && targets.contains(&f.target))
--- a/crates/forward/src/forwarder/resets.rs
+++ b/crates/forward/src/forwarder/resets.rs
@@ -23,15 +23,15 @@
         }
     }
 
-    /// Ends requests that may run again and whose clients wait for targets that have just become
-    /// lost.
+    /// Ends requests that may run again and that wait for targets which have just become lost.
+    /// Requests that were taken before come with no further packet of their clients.
     pub(super) fn reset_waiting(&mut self, due: &mut Vec<Due>, now: Millis) {
         self.note_standings(now);
         let lost = std::mem::take(&mut self.newly_lost);
         if lost.is_empty() || self.is_deaf(now) {
             return;
         }
-        for (key, target) in self.flows.waiting_at(&lost) {
+        for (key, target) in self.flows.waiting_at(&lost, now) {
             if !self.is_idempotent(&key) {
                 continue;
             }
--- a/crates/forward/tests/vanished_target.rs
+++ b/crates/forward/tests/vanished_target.rs
@@ -78,8 +78,23 @@
     assert_eq!((resets(&one), resets(&two)), (1, 1), "{due:?}");
 }
 
-/// Guards against ending flows that wait for nothing, requests whose clients have not missed an
-/// answer yet, and requests that must not run twice.
+/// Guards against clients that wait for an answer until their deadline: their request was taken
+/// before the target vanished, so they do not repeat it.
+#[test]
+fn a_request_that_a_lost_target_had_taken_is_reset() {
+    let mut forwarder = forwarder(3);
+    let (mut one, mut two, _) = two_feeds(&mut forwarder);
+    let here = one.cookie;
+    let mut taken = open_where(&mut forwarder, FEED_PORT, |f| f.cookie == here);
+    taken.send(&mut forwarder, 100, at(90));
+    lose(&mut forwarder, &mut one, &mut two);
+
+    let due = forwarder.take_due(at(520));
+
+    assert!(due.iter().any(|d| d.flow == taken.flow), "{due:?}");
+}
+
+/// Guards against ending flows that wait for nothing, requests that have just been sent, and requests that must not run twice.
 #[test]
 fn other_flows_of_a_lost_target_go_on() {
     let mut forwarder = forwarder(3);
