--- a/crates/standins/tests/model.rs
+++ b/crates/standins/tests/model.rs
@@ -17,12 +17,12 @@
     sum
 }
 
-/// A fleet in which an instance sends a target one request in about six seconds.
+/// A fleet in which an instance sends a target one request in two seconds.
 fn large() -> Settings {
     Settings {
         instances: 40,
         targets: 60,
-        rate: 400.0,
+        rate: 1_200.0,
         ..Settings::default()
     }
 }
