--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -42,7 +42,7 @@
     /// Creates an instance that knows nothing yet.
     pub fn new(settings: ForwarderSettings, clock: Clock, reporter: Reporter) -> Rc<Self> {
         let own = OwnInstance {
-            address: settings.beacons,
+            address: settings.advertised,
             incarnation: Incarnation::random(),
             zone: zone_position(&settings),
             capacity: settings.capacity,
@@ -128,8 +128,8 @@
 
 /// Returns where seeds receive beacons: ports are the same on all instances.
 pub fn beacon_addresses(settings: &ForwarderSettings) -> Vec<SocketAddrV4> {
-    let port = settings.beacons.port();
-    let own = *settings.beacons.ip();
+    let port = settings.advertised.port();
+    let own = *settings.advertised.ip();
     let seeds = settings.seeds.iter().map(|seed| *seed.ip());
     seeds
         .filter(|ip| *ip != own)
--- a/crates/proxy/src/settings/forwarder.rs
+++ b/crates/proxy/src/settings/forwarder.rs
@@ -1,4 +1,4 @@
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use tanager_core::{InstanceName, ResultCode, ZoneName};
 
@@ -31,6 +31,9 @@
     pub views: SocketAddrV4,
     /// UDP address for beacons of other instances.
     pub beacons: SocketAddrV4,
+    /// Where other instances send beacons. It differs from `beacons` where their packets pass
+    /// through something that translates addresses. Their calls for views go to the same host.
+    pub advertised: SocketAddrV4,
     /// TCP address for metrics.
     pub metrics: SocketAddrV4,
     /// Addresses of `views` of some instances.
@@ -54,7 +57,7 @@
 
 fn check_settings(top: &Section<'_>, check: &mut Checker) -> Option<ForwarderSettings> {
     let required = ["instance", "listen", "zones", "store"];
-    top.expect(check, &required, &["seeds", "log"]);
+    top.expect(check, &required, &["advertise", "seeds", "log"]);
     let instance = top
         .section(check, "instance")
         .and_then(|section| check_instance(&section, check));
@@ -64,6 +67,7 @@
     let zones = check_zones(top, check);
     let store = check_address(top, check, "store");
     let seeds = check_seeds(top, check);
+    let host: Option<Ipv4Addr> = top.parse(check, "advertise");
     let log = match top.section(check, "log") {
         Some(section) => check_log(&section, check),
         None => Some(LogSettings::default()),
@@ -85,6 +89,7 @@
         ready,
         views,
         beacons,
+        advertised: SocketAddrV4::new(host.unwrap_or(*beacons.ip()), beacons.port()),
         metrics,
         seeds,
         store: store?,
--- a/crates/proxy/src/settings/tests.rs
+++ b/crates/proxy/src/settings/tests.rs
@@ -2,7 +2,7 @@
 use proptest::prelude::*;
 use tanager_core::ResultCode;
 
-use crate::settings::{Settings, check};
+use crate::settings::{ForwarderSettings, Settings, check};
 
 fn document() -> String {
     let secret = "0f".repeat(32);
@@ -107,3 +107,36 @@
         prop_assert!(!check(&text).is_empty());
     }
 }
+
+fn forwarder_document() -> String {
+    "instance: {name: e-1, zone: a, capacity: \"0.5\"}\n\
+     listen: {clients: 10.0.0.1:8172, ready: 10.0.0.1:8167, views: 10.0.0.1:8166, \
+     beacons: 10.0.0.1:7720, metrics: 10.0.0.1:9464}\n\
+     zones: [a]\n\
+     store: 10.0.0.9:8169\n"
+        .to_owned()
+}
+
+/// Guards against instances that nobody reaches where addresses are translated, and against an
+/// address that must be set everywhere else, too.
+#[test]
+fn another_address_may_be_advertised_for_beacons() {
+    let plain = ForwarderSettings::read(&forwarder_document()).expect("settings");
+    let translated = forwarder_document() + "advertise: 192.0.2.7\n";
+
+    let translated = ForwarderSettings::read(&translated).expect("settings");
+
+    assert_eq!(plain.advertised, plain.beacons);
+    assert_eq!(translated.advertised.to_string(), "192.0.2.7:7720");
+    assert_eq!(translated.beacons, plain.beacons);
+}
+
+/// Guards against silently advertising nothing usable.
+#[test]
+fn an_advertised_address_that_cannot_be_read_is_refused() {
+    let text = forwarder_document() + "advertise: here\n";
+
+    let error = ForwarderSettings::read(&text).expect_err("a problem");
+
+    assert!(error.to_string().contains("advertise"), "{error}");
+}
