Count only requests on open flows as misses

Openings that another target answered were counted as misses over all instances, but a target that is full answers no opening packet while its open flows do well. With 87 instances that each try it once in three seconds, and misses that are remembered three times as long as sound answers, such a target could count as silent, and requests on its open flows would be reset.

Ruled out: openings as a second sign that needs one request missed: in three seconds one request in a hundred is missed on a lossy path. A veto by the instance's own flows: most instances have none at that target.

Two misses suffice instead of three, and 1.5 for a target that is lost, as both must be more than all other outcomes and one. The number of lost targets in the metrics now includes those that all instances take for lost; an instance still judges its own hearing by what it has seen itself.

--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -35,7 +35,7 @@
     sound: u16,
     /// Failed requests in the same unit.
     failures: u16,
-    /// Requests and openings that the target did not take, in the same unit.
+    /// Requests that the target did not take, in the same unit.
     misses: u16,
 }
 
--- a/crates/forward/src/evidence.rs
+++ b/crates/forward/src/evidence.rs
@@ -204,13 +204,15 @@
         changed
     }
 
-    /// Returns the number of targets with each standing other than sound: suspect, lost.
-    pub fn count(&self, now: Millis) -> (usize, usize) {
-        let of = |standing| {
-            let same = |r: &&Record| r.standing(now) == standing;
-            self.records.values().filter(same).count()
-        };
-        (of(Standing::Suspect), of(Standing::Lost))
+    /// Returns the number of targets that are believed suspect and lost.
+    pub fn count(&self, health: &Health, now: Millis) -> (usize, usize) {
+        let standings = self.records.iter();
+        count(standings.map(|(target, r)| r.with_peers(health.tally(*target, now), now)))
+    }
+
+    /// Returns the number of targets that this instance alone would believe suspect and lost.
+    pub fn count_own(&self, now: Millis) -> (usize, usize) {
+        count(self.records.values().map(|r| r.standing(now)))
     }
 
     /// Forgets targets that are not known any more.
@@ -219,6 +221,15 @@
     }
 }
 
+/// Returns the numbers of suspect and lost ones.
+fn count(standings: impl Iterator<Item = Standing>) -> (usize, usize) {
+    standings.fold((0, 0), |(suspect, lost), standing| match standing {
+        Standing::Sound => (suspect, lost),
+        Standing::Suspect => (suspect + 1, lost),
+        Standing::Lost => (suspect, lost + 1),
+    })
+}
+
 impl Record {
     /// Returns what is believed of a target, with what all instances have seen of it.
     fn with_peers(&self, tally: Tally, now: Millis) -> Standing {
--- a/crates/forward/src/forwarder/carry.rs
+++ b/crates/forward/src/forwarder/carry.rs
@@ -74,9 +74,7 @@
         flow.open = true;
         flow.acknowledged = segment.acknowledged;
         self.loads.opened(target, now);
-        for silent in self.openings.answer(&key, target, now) {
-            self.health.miss(silent, now);
-        }
+        self.openings.answer(&key, target, now);
         if segment.kind != SegmentKind::Abort {
             self.evidence.alive(target, now);
         }
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -59,7 +59,7 @@
     /// Returns numbers for metrics.
     #[must_use]
     pub fn gauges(&self, now: Millis) -> Gauges {
-        let (suspect, lost) = self.evidence.count(now);
+        let (suspect, lost) = self.evidence.count(&self.health, now);
         Gauges {
             flows: self.flows.len(),
             waiting: self.loads.waiting() as usize,
--- a/crates/forward/src/forwarder/resets.rs
+++ b/crates/forward/src/forwarder/resets.rs
@@ -84,7 +84,7 @@
     /// that this instance is likely cut off.
     #[must_use]
     pub fn is_deaf(&self, now: Millis) -> bool {
-        let (suspect, lost) = self.evidence.count(now);
+        let (suspect, lost) = self.evidence.count_own(now);
         let silent = self.evidence.any_alive();
         lost >= 2 && suspect + lost >= 3 && silent.is_none_or(|at| now.since(at) > DEAF_AFTER)
     }
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -34,10 +34,10 @@
 pub const FAILING_RATE: f64 = 0.15;
 /// Part of failed requests below which a failing target is logged as sound again.
 const SOUND_RATE: f64 = 0.08;
-/// Misses on all instances from which a target may count as silent. Fewer may be lost packets.
-const SILENT_MISSES: f64 = 3.0;
+/// Misses on all instances from which a target may count as silent. One may be a lost packet.
+const SILENT_MISSES: f64 = 2.0;
 /// Misses down to which a silent target counts as such. Counts fade between two reports.
-const STAYS_SILENT_MISSES: f64 = 2.0;
+const STAYS_SILENT_MISSES: f64 = 1.5;
 /// Part of misses above which a target counts as silent. Lossy paths have a fraction of that.
 const SILENT_RATE: f64 = 0.5;
 
@@ -57,7 +57,8 @@
     pub sound: f64,
     /// Failed requests.
     pub failures: f64,
-    /// Requests and openings that the target did not even take.
+    /// Requests on open flows that the target did not even take. Openings are not counted: a
+    /// target that is full does not answer them.
     pub misses: f64,
 }
 
@@ -188,7 +189,7 @@
         self.add(target, one, now);
     }
 
-    /// Counts a request or an opening that a target did not take.
+    /// Counts a request that a target did not take.
     pub fn miss(&mut self, target: TargetNumber, now: Millis) {
         self.add(target, Tally::MISSED, now);
     }
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -118,23 +118,14 @@
     }
 
     /// Forgets an opening that a target has answered, and learns how long that took. Nothing is
-    /// learned where the time may be that of another copy. Returns the targets that had the
-    /// packet before and did not answer it.
-    pub fn answer(
-        &mut self,
-        flow: &FlowKey,
-        target: TargetNumber,
-        now: Millis,
-    ) -> Vec<TargetNumber> {
-        let Some(mut opening) = self.pending.remove(flow) else {
-            return Vec::new();
+    /// learned where the time may be that of another copy.
+    pub fn answer(&mut self, flow: &FlowKey, target: TargetNumber, now: Millis) {
+        let Some(opening) = self.pending.remove(flow) else {
+            return;
         };
         if opening.tried.first() == Some(&target) && !opening.repeated {
             self.pace = Some(Pace::learn(self.pace, now.since(opening.begun)));
         }
-        let answered = opening.tried.iter().position(|t| *t == target);
-        opening.tried.truncate(answered.unwrap_or(0));
-        opening.tried
     }
 
     /// Returns an opening.
