--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -1,3 +1,5 @@
+//! The monotonic clock of a process, in milliseconds.
+
 use std::fmt;
 use std::ops::{Add, Sub};
 use std::time::{Duration, Instant};
--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -1,3 +1,5 @@
+//! The numbered codes of refusals and failures, and whether a request may have run.
+
 use std::fmt;
 
 /// Whether a refused or failed request may have run at a target.
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -1,3 +1,5 @@
+//! Errors of values that cannot be read.
+
 use crate::ResultCode;
 
 /// The result of an operation in this crate.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -1,3 +1,5 @@
+//! Names and numbers of instances, services, owners, zones and targets.
+
 use std::fmt;
 use std::str::FromStr;
 
--- a/crates/core/src/invariant.rs
+++ b/crates/core/src/invariant.rs
@@ -1,3 +1,5 @@
+//! Counts invariants that were found violated.
+
 use std::sync::atomic::{AtomicU64, Ordering};
 
 static VIOLATIONS: AtomicU64 = AtomicU64::new(0);
--- a/crates/core/src/quantity.rs
+++ b/crates/core/src/quantity.rs
@@ -1,3 +1,5 @@
+//! Sizes and rates with their text forms.
+
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -1,3 +1,5 @@
+//! Why a command of `tanagerctl` failed.
+
 use std::fmt::{self, Display};
 use std::net::SocketAddr;
 
--- a/crates/proxy/src/admission/bucket.rs
+++ b/crates/proxy/src/admission/bucket.rs
@@ -1,3 +1,5 @@
+//! Token buckets and meters for an instance's part of a rate limit.
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
--- a/crates/proxy/src/admission/control.rs
+++ b/crates/proxy/src/admission/control.rs
@@ -1,3 +1,5 @@
+//! Admits requests and flows by all limits of their owner and service.
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tanager_core::{Clock, FastMap, Millis, ResultCode, ServiceId};
--- a/crates/proxy/src/admission/flow_limits.rs
+++ b/crates/proxy/src/admission/flow_limits.rs
@@ -1,3 +1,5 @@
+//! Bounds the open flows of a service over all instances.
+
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis, ResultCode};
--- a/crates/proxy/src/admission/gate.rs
+++ b/crates/proxy/src/admission/gate.rs
@@ -1,3 +1,5 @@
+//! Bounds the runs in flight of one service, and orders those that wait.
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
--- a/crates/proxy/src/admission/lending.rs
+++ b/crates/proxy/src/admission/lending.rs
@@ -1,3 +1,5 @@
+//! Offers and asks for parts of rate limits in heartbeats.
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use rand::seq::SliceRandom as _;
--- a/crates/proxy/src/admission/limiter.rs
+++ b/crates/proxy/src/admission/limiter.rs
@@ -1,3 +1,5 @@
+//! Adapts the number of runs in flight to the latency of the targets.
+
 use std::time::Duration;
 
 use tanager_core::Millis;
--- a/crates/proxy/src/admission/loan.rs
+++ b/crates/proxy/src/admission/loan.rs
@@ -1,3 +1,5 @@
+//! Parts of rate limits that instances lend each other for a time.
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
--- a/crates/proxy/src/admission/rate_limits.rs
+++ b/crates/proxy/src/admission/rate_limits.rs
@@ -1,3 +1,5 @@
+//! Keeps an instance's parts of all rate limits, with what it lent and borrowed.
+
 use std::time::Duration;
 
 use tanager_core::{FastMap, Incarnation, Millis, ResultCode, ServiceId};
--- a/crates/proxy/src/catalogue/check.rs
+++ b/crates/proxy/src/catalogue/check.rs
@@ -1,3 +1,5 @@
+//! Checks the text of a catalogue and reports all of its problems.
+
 use std::ops::RangeInclusive;
 
 use tanager_core::{
--- a/crates/proxy/src/catalogue/delta.rs
+++ b/crates/proxy/src/catalogue/delta.rs
@@ -1,3 +1,5 @@
+//! The changed parts of a text, to send instead of the whole.
+
 use serde::{Deserialize, Serialize};
 use tanager_core::FastMap;
 
--- a/crates/proxy/src/catalogue/document.rs
+++ b/crates/proxy/src/catalogue/document.rs
@@ -1,3 +1,5 @@
+//! The checked catalogue: owners, services, limits and targets.
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/proxy/src/catalogue/history.rs
+++ b/crates/proxy/src/catalogue/history.rs
@@ -1,3 +1,5 @@
+//! Keeps published texts, and answers readers with a delta or the whole.
+
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 
--- a/crates/proxy/src/catalogue/pace.rs
+++ b/crates/proxy/src/catalogue/pace.rs
@@ -1,3 +1,5 @@
+//! How often instances call the platform, so that the whole fleet stays within its limit.
+
 use std::time::Duration;
 
 use rand::{Rng, RngExt as _};
--- a/crates/proxy/src/catalogue/reader.rs
+++ b/crates/proxy/src/catalogue/reader.rs
@@ -1,3 +1,5 @@
+//! Reads published documents from the platform, with a watch or by polling.
+
 use std::sync::Arc;
 
 use rand::RngExt as _;
--- a/crates/proxy/src/catalogue/store.rs
+++ b/crates/proxy/src/catalogue/store.rs
@@ -1,3 +1,5 @@
+//! Holds the catalogue in force and takes over newer ones.
+
 use std::collections::VecDeque;
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/proxy/src/error.rs
+++ b/crates/proxy/src/error.rs
@@ -1,3 +1,5 @@
+//! Errors of the library.
+
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/proxy/src/execution/answers.rs
+++ b/crates/proxy/src/execution/answers.rs
@@ -1,3 +1,5 @@
+//! Sends answers to callers in fragments, and again those that are missing.
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
--- a/crates/proxy/src/execution/dispatch.rs
+++ b/crates/proxy/src/execution/dispatch.rs
@@ -1,3 +1,5 @@
+//! Runs a request at a target, and at another one where that is safe.
+
 use std::sync::Arc;
 
 use bytes::Bytes;
--- a/crates/proxy/src/execution/executor.rs
+++ b/crates/proxy/src/execution/executor.rs
@@ -1,3 +1,5 @@
+//! Takes requests of callers as their executor, or relays them to it.
+
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/proxy/src/execution/expiry.rs
+++ b/crates/proxy/src/execution/expiry.rs
@@ -1,3 +1,5 @@
+//! Orders request keys by the time at which they are to be forgotten.
+
 use std::collections::VecDeque;
 
 use tanager_core::Millis;
--- a/crates/proxy/src/execution/pause.rs
+++ b/crates/proxy/src/execution/pause.rs
@@ -1,3 +1,5 @@
+//! Notices that the process did not run for a while, before it trusts what it knows.
+
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
--- a/crates/proxy/src/execution/request.rs
+++ b/crates/proxy/src/execution/request.rs
@@ -1,3 +1,5 @@
+//! What identifies a request, and how it ends.
+
 use bytes::Bytes;
 use tanager_core::{Millis, RequestId, ResultCode, RunState, ServiceId};
 use tokio_util::sync::CancellationToken;
--- a/crates/proxy/src/execution/retry.rs
+++ b/crates/proxy/src/execution/retry.rs
@@ -1,3 +1,5 @@
+//! Bounds the retries of each service.
+
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tanager_core::{FastMap, ServiceId};
--- a/crates/proxy/src/execution/table.rs
+++ b/crates/proxy/src/execution/table.rs
@@ -1,3 +1,5 @@
+//! Remembers requests and their answers, so that none runs twice.
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
--- a/crates/proxy/src/flow/callers.rs
+++ b/crates/proxy/src/flow/callers.rs
@@ -1,3 +1,5 @@
+//! Sends datagrams to callers.
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/proxy/src/flow/flows.rs
+++ b/crates/proxy/src/flow/flows.rs
@@ -1,3 +1,5 @@
+//! Opens, keeps, moves and closes the flows of callers.
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/proxy/src/flow/pending.rs
+++ b/crates/proxy/src/flow/pending.rs
@@ -1,3 +1,5 @@
+//! Flows that are being placed, each once at a time.
+
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tanager_core::{FastMap, FastSet, FlowId, ResultCode, TargetId};
--- a/crates/proxy/src/flow/placing.rs
+++ b/crates/proxy/src/flow/placing.rs
@@ -1,3 +1,5 @@
+//! Chooses the target of a new flow and opens it there.
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/proxy/src/flow/return_path.rs
+++ b/crates/proxy/src/flow/return_path.rs
@@ -1,3 +1,5 @@
+//! Takes what targets send on flows back to their callers.
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/proxy/src/identity.rs
+++ b/crates/proxy/src/identity.rs
@@ -1,3 +1,5 @@
+//! Who an instance is.
+
 use std::net::SocketAddr;
 
 use tanager_core::{Incarnation, InstanceName, RegionName, ZoneName};
--- a/crates/proxy/src/ingress/class.rs
+++ b/crates/proxy/src/ingress/class.rs
@@ -1,3 +1,5 @@
+//! What the first bytes of a datagram tell, to decide what to drop first.
+
 use tanager_core::ServiceId;
 
 const VERSION_TAG: u8 = 0x08;
--- a/crates/proxy/src/ingress/receive.rs
+++ b/crates/proxy/src/ingress/receive.rs
@@ -1,3 +1,5 @@
+//! Receives datagrams of callers in rounds and drops what is too much.
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/proxy/src/ingress/shares.rs
+++ b/crates/proxy/src/ingress/shares.rs
@@ -1,3 +1,5 @@
+//! Shares a saturated receive loop among services.
+
 use tanager_core::{FastMap, ServiceId};
 
 use super::class::Class;
--- a/crates/proxy/src/membership/gossip.rs
+++ b/crates/proxy/src/membership/gossip.rs
@@ -1,3 +1,5 @@
+//! Exchanges heartbeats with other instances.
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/proxy/src/membership/heard.rs
+++ b/crates/proxy/src/membership/heard.rs
@@ -1,3 +1,5 @@
+//! Instances that were heard from.
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
--- a/crates/proxy/src/membership/list.rs
+++ b/crates/proxy/src/membership/list.rs
@@ -1,3 +1,5 @@
+//! The platform's list of instances.
+
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::Arc;
--- a/crates/proxy/src/membership/pull.rs
+++ b/crates/proxy/src/membership/pull.rs
@@ -1,3 +1,5 @@
+//! Reads newer documents from peers that announced them.
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/proxy/src/membership/view.rs
+++ b/crates/proxy/src/membership/view.rs
@@ -1,3 +1,5 @@
+//! The fleet as an instance knows it, from the list and from heartbeats.
+
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/proxy/src/membership/watchers.rs
+++ b/crates/proxy/src/membership/watchers.rs
@@ -1,3 +1,5 @@
+//! Which instances watch the platform for their zone.
+
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -1,3 +1,5 @@
+//! An instance: starts, leaves, and serves its peers.
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/proxy/src/node/assembly.rs
+++ b/crates/proxy/src/node/assembly.rs
@@ -1,3 +1,5 @@
+//! Builds the parts of an instance from its settings.
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
--- a/crates/proxy/src/node/sockets.rs
+++ b/crates/proxy/src/node/sockets.rs
@@ -1,3 +1,5 @@
+//! The sockets on which an instance is reached.
+
 use std::net::SocketAddr;
 
 use tokio::net::{TcpListener, UdpSocket};
--- a/crates/proxy/src/peer/client.rs
+++ b/crates/proxy/src/peer/client.rs
@@ -1,3 +1,5 @@
+//! Calls other instances.
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/proxy/src/peer/connection.rs
+++ b/crates/proxy/src/peer/connection.rs
@@ -1,3 +1,5 @@
+//! One connection to a peer, opened when it is needed.
+
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/proxy/src/peer/network.rs
+++ b/crates/proxy/src/peer/network.rs
@@ -1,3 +1,5 @@
+//! Byte streams to other processes, the edge that tests replace.
+
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/proxy/src/peer/server.rs
+++ b/crates/proxy/src/peer/server.rs
@@ -1,3 +1,5 @@
+//! Serves the calls of other instances.
+
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/proxy/src/peer/service.rs
+++ b/crates/proxy/src/peer/service.rs
@@ -1,3 +1,5 @@
+//! What instances tell and ask each other.
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
--- a/crates/proxy/src/routing/health.rs
+++ b/crates/proxy/src/routing/health.rs
@@ -1,3 +1,5 @@
+//! Ejects targets that fail or refuse, for a time that grows.
+
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis, TargetId};
--- a/crates/proxy/src/routing/locality.rs
+++ b/crates/proxy/src/routing/locality.rs
@@ -1,3 +1,5 @@
+//! How much of a zone's work stays in the zone.
+
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis, ZoneName};
--- a/crates/proxy/src/routing/picker.rs
+++ b/crates/proxy/src/routing/picker.rs
@@ -1,3 +1,5 @@
+//! Picks the target that is furthest behind its share.
+
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom as _;
 use tanager_core::{FastMap, Incarnation, Millis, ServiceId, TargetId, ZoneName};
--- a/crates/proxy/src/routing/router.rs
+++ b/crates/proxy/src/routing/router.rs
@@ -1,3 +1,5 @@
+//! Chooses targets for flows and requests.
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use rand::SeedableRng as _;
--- a/crates/proxy/src/routing/weight.rs
+++ b/crates/proxy/src/routing/weight.rs
@@ -1,3 +1,5 @@
+//! The weight of a target, which grows after its start.
+
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis, ZoneName};
--- a/crates/proxy/src/settings/checked.rs
+++ b/crates/proxy/src/settings/checked.rs
@@ -1,3 +1,5 @@
+//! Checked settings of `tanager-balancer`.
+
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::time::Duration;
--- a/crates/proxy/src/settings/forwarder.rs
+++ b/crates/proxy/src/settings/forwarder.rs
@@ -1,3 +1,5 @@
+//! Checked settings of an instance that forwards packets.
+
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use tanager_core::{InstanceName, ResultCode, ZoneName};
--- a/crates/proxy/src/settings/problem.rs
+++ b/crates/proxy/src/settings/problem.rs
@@ -1,3 +1,5 @@
+//! One fault in a document, with its place.
+
 use std::fmt;
 
 use miette::{Diagnostic, LabeledSpan};
--- a/crates/proxy/src/settings/section.rs
+++ b/crates/proxy/src/settings/section.rs
@@ -1,3 +1,5 @@
+//! Reads values from mappings of a document and collects their problems.
+
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
--- a/crates/proxy/src/settings/tree.rs
+++ b/crates/proxy/src/settings/tree.rs
@@ -1,3 +1,5 @@
+//! A YAML document with the place of each value.
+
 use std::fmt;
 
 use serde::Deserialize;
--- a/crates/proxy/src/status/explain.rs
+++ b/crates/proxy/src/status/explain.rs
@@ -1,3 +1,5 @@
+//! Answers why a flow or request was treated as it was.
+
 use tanager_core::{FlowId, RequestId};
 
 use crate::telemetry::Decision;
--- a/crates/proxy/src/status/metrics.rs
+++ b/crates/proxy/src/status/metrics.rs
@@ -1,3 +1,5 @@
+//! The gauges and counters of an instance.
+
 use std::sync::Arc;
 
 use opentelemetry_sdk::error::OTelSdkError;
--- a/crates/proxy/src/status/page.rs
+++ b/crates/proxy/src/status/page.rs
@@ -1,3 +1,5 @@
+//! What the status and usage pages show.
+
 use serde::Serialize;
 use serde_json::Value;
 use tanager_core::{FastSet, InstanceName};
--- a/crates/proxy/src/status/server.rs
+++ b/crates/proxy/src/status/server.rs
@@ -1,3 +1,5 @@
+//! Serves status, usage, decisions and metrics over HTTP.
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/proxy/src/target/connection.rs
+++ b/crates/proxy/src/target/connection.rs
@@ -1,3 +1,5 @@
+//! Frames on one connection to a target, and the runs that wait for answers.
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/proxy/src/target/error.rs
+++ b/crates/proxy/src/target/error.rs
@@ -1,3 +1,5 @@
+//! Why a frame was not sent to a target.
+
 use tanager_core::ResultCode;
 
 /// Why a frame was not sent to a target.
--- a/crates/proxy/src/target/link.rs
+++ b/crates/proxy/src/target/link.rs
@@ -1,3 +1,5 @@
+//! One target as an instance sees it: load, clock and state of its connection.
+
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
--- a/crates/proxy/src/target/ping.rs
+++ b/crates/proxy/src/target/ping.rs
@@ -1,3 +1,5 @@
+//! Spaces the pings of quiet links so that control traffic stays bounded.
+
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/proxy/src/target/pool.rs
+++ b/crates/proxy/src/target/pool.rs
@@ -1,3 +1,5 @@
+//! The links to all targets of the catalogue in force.
+
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
--- a/crates/proxy/src/target/run.rs
+++ b/crates/proxy/src/target/run.rs
@@ -1,3 +1,5 @@
+//! A request to be run by a target, and how its run ended.
+
 use bytes::Bytes;
 use tanager_core::{Millis, RequestId, ResultCode};
 
--- a/crates/proxy/src/target/session.rs
+++ b/crates/proxy/src/target/session.rs
@@ -1,3 +1,5 @@
+//! Keeps the connection to a target open, and opens it again after a failure.
+
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/proxy/src/telemetry/control.rs
+++ b/crates/proxy/src/telemetry/control.rs
@@ -1,3 +1,5 @@
+//! The rate of control traffic over the last seconds.
+
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
--- a/crates/proxy/src/telemetry/decision.rs
+++ b/crates/proxy/src/telemetry/decision.rs
@@ -1,3 +1,5 @@
+//! Decisions that are kept for explanations.
+
 use std::collections::VecDeque;
 use std::fmt;
 use std::sync::{Mutex, PoisonError};
--- a/crates/proxy/src/telemetry/exporter.rs
+++ b/crates/proxy/src/telemetry/exporter.rs
@@ -1,3 +1,5 @@
+//! Writes metrics in the Prometheus text format.
+
 use std::sync::Arc;
 
 use opentelemetry::metrics::{Histogram, Meter, MeterProvider as _};
--- a/crates/proxy/src/telemetry/log.rs
+++ b/crates/proxy/src/telemetry/log.rs
@@ -1,3 +1,5 @@
+//! Writes log lines with a prefix for each part of the program.
+
 use std::fmt;
 use std::io::Write;
 use std::sync::Arc;
--- a/crates/proxy/src/telemetry/metrics.rs
+++ b/crates/proxy/src/telemetry/metrics.rs
@@ -1,3 +1,5 @@
+//! Counters, and lists of them to export.
+
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use serde::Serialize;
--- a/crates/proxy/src/usage/counters.rs
+++ b/crates/proxy/src/usage/counters.rs
@@ -1,3 +1,5 @@
+//! Counts what owners use.
+
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
--- a/crates/proxy/src/usage/ledger.rs
+++ b/crates/proxy/src/usage/ledger.rs
@@ -1,3 +1,5 @@
+//! Counts usage by service, and holds the rows of the whole fleet.
+
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
--- a/crates/proxy/src/usage/rows.rs
+++ b/crates/proxy/src/usage/rows.rs
@@ -1,3 +1,5 @@
+//! Rows of usage that instances exchange.
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -1,3 +1,5 @@
+//! Datagrams between callers and instances.
+
 use bytes::Bytes;
 use prost::Message as _;
 use tanager_core::{FlowId, Generation, Millis, RequestId, ResultCode, RunState, ServiceId};
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -1,3 +1,5 @@
+//! Why a packet is not acceptable.
+
 use tanager_core::ResultCode;
 
 /// The result of decoding or checking a packet.
--- a/crates/wire/src/fragment.rs
+++ b/crates/wire/src/fragment.rs
@@ -1,3 +1,5 @@
+//! Splits answers into fragments and puts them together.
+
 use bytes::{Bytes, BytesMut};
 
 use crate::{Answer, Error, Result};
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,3 +1,5 @@
+//! Frames with a length on a byte stream.
+
 use bytes::{Buf as _, BufMut as _, Bytes, BytesMut};
 use prost::Message;
 
--- a/crates/wire/src/route.rs
+++ b/crates/wire/src/route.rs
@@ -1,3 +1,5 @@
+//! The sealed way back to the caller of a flow.
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -1,3 +1,5 @@
+//! Secrets, and codes that authenticate what is handed out.
+
 use std::fmt;
 use std::str::FromStr;
 
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -1,3 +1,5 @@
+//! Frames between instances and targets.
+
 use bytes::Bytes;
 use prost::Message as _;
 use tanager_core::{FlowId, Incarnation, Millis, ResultCode, ServiceId, TargetId};
--- a/crates/wire/src/token.rs
+++ b/crates/wire/src/token.rs
@@ -1,3 +1,5 @@
+//! The token that names a flow's target and executor.
+
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
