--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -118,6 +118,7 @@
         let now = self.instance.now();
         let mut partial = self.partial.take().unwrap_or_else(|| Partial::new(now));
         if partial.routes.is_none() {
+            // Its connection ends with the call and cannot be asked later.
             self.instance.reporter.counters.store_calls.add(1);
             let mut store = S::connect(self.store.address());
             partial.routes = Some(spawn_local(async move { store.read_routes().await }));
