--- a/crates/standins/src/model/world.rs
+++ b/crates/standins/src/model/world.rs
@@ -46,9 +46,13 @@
     /// A run ends at a target.
     Done(usize, Work),
     Deadline(CallId, ConnectionId),
+    /// An instance sends a round of beacons.
     Beacons(usize),
+    /// A beacon reaches an instance.
     Heard(usize, Box<Beacon>),
+    /// An instance looks for what is due.
     Tick(usize),
+    /// Targets vanish.
     Vanish,
 }
 
--- a/crates/standins/src/model/world/packets.rs
+++ b/crates/standins/src/model/world/packets.rs
@@ -14,7 +14,7 @@
 const WORK: Duration = Duration::from_millis(30);
 
 impl World {
-    /// The instance to which a flow's packets are routed.
+    /// Returns the instance to which a flow's packets are routed.
     fn instance_of(&self, id: ConnectionId) -> usize {
         self.connections[id].key.spread() as usize % self.instances.len()
     }
--- a/crates/standins/src/model/world/requests.rs
+++ b/crates/standins/src/model/world/requests.rs
@@ -21,6 +21,7 @@
 const REFUSAL: u32 = 150;
 
 impl World {
+    /// Returns the present number of requests a second.
     fn rate(&self) -> f64 {
         let since = self.arrival;
         let factor = match self.settings.burst {
