Retain targets that only a lagging peer lists as removed

Cause: after a start an instance merges the whole view of a peer. If the peer lagged behind the store that the instance had read already, a target that had left in between was published again, and nothing removed it, since its removal lay before the instance's revision.

Change: an entry of a peer that is not newer than the revision up to which the view is complete never changes a known target, and an unknown one is retained as removed, so that packets of its flows are still forwarded. Entries read from the store are applied as before, since the store is linearizable. Merging a whole view looks up targets in a set instead of a list, which was quadratic.

--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::{FastMap, Millis};
+use tanager_core::{FastMap, FastSet, Millis};
 
 use crate::{Cookie, RouteTable, Target, TargetNumber, TargetState};
 
@@ -168,7 +168,8 @@
         self.targets.values()
     }
 
-    /// Applies a change unless the view has an entry of the same or a newer revision.
+    /// Applies a change read from the store unless the view has an entry of the same or a newer
+    /// revision.
     pub fn apply(&mut self, change: Change, now: Millis) -> UpdateEffect {
         let entry = self.targets.get_mut(&change.number);
         if entry
@@ -212,6 +213,18 @@
         effect
     }
 
+    /// Applies a change that a peer sent. The peer may lag behind this view, so a target that was
+    /// published up to this view's revision and is missing here has been removed since. Its entry
+    /// is retained as removed, because packets of its flows may still arrive.
+    fn apply_from_peer(&mut self, mut change: Change, now: Millis) -> UpdateEffect {
+        let known = change.revision <= self.revision;
+        if known && self.targets.contains_key(&change.number) {
+            return UpdateEffect::Stale;
+        }
+        change.removed |= known;
+        self.apply(change, now)
+    }
+
     /// Applies routes if their version is newer than the present one. Returns whether it was.
     pub fn apply_routes(&mut self, mut routes: RouteTable) -> bool {
         if routes.version <= self.routes.version {
@@ -271,7 +284,7 @@
     pub fn merge(&mut self, delta: Delta, now: Millis) -> Vec<(TargetNumber, UpdateEffect)> {
         let mut changed = Vec::new();
         if delta.whole {
-            let listed: Vec<_> = delta.changes.iter().map(|c| c.number).collect();
+            let listed: FastSet<_> = delta.changes.iter().map(|c| c.number).collect();
             let removed = self.remove_unlisted(|n| listed.contains(&n), delta.revision, now);
             changed.extend(
                 removed
@@ -281,7 +294,7 @@
         }
         for change in delta.changes {
             let number = change.number;
-            let effect = self.apply(change, now);
+            let effect = self.apply_from_peer(change, now);
             if effect != UpdateEffect::Stale {
                 changed.push((number, effect));
             }
