Close a connection to the store whose answer is that of another call

Cause: the client keeps one connection to the store and takes the next answer as that of its call. A second copy of an answer that arrives after the next request was sent is taken for its answer, and all later answers are one call late: a page is read twice and the next one never, and a watch is confirmed as complete while changes wait.

A page cut at any byte is an error, which held before.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -133,6 +133,8 @@
     PeerUnreachable = 701,
     /// The platform cannot be reached.
     PlatformUnreachable = 702,
+    /// The answer on a connection belongs to another call.
+    AnswerForeign = 703,
 }
 
 impl ResultCode {
--- a/crates/forward/tests/view_sources.rs
+++ b/crates/forward/tests/view_sources.rs
@@ -119,12 +119,11 @@
         match *step {
             Step::MergeWhole(position) => self.merge(position, 0),
             Step::MergeDelta(position) if after > 0 => self.merge(position, after),
-            Step::MergeDelta(_) => {}
             Step::ReadPages { first, peer, last } => self.read_pages(first, peer, last),
             Step::Watch(position) if after > 0 => {
                 self.history.watch(&mut self.view, position, self.now);
             }
-            Step::Watch(_) => {}
+            Step::MergeDelta(_) | Step::Watch(_) => {}
             Step::Evict => {
                 self.now = self.now + EVICTION_TIME;
                 self.view.expire(self.now);
--- a/crates/forwarder/src/error.rs
+++ b/crates/forwarder/src/error.rs
@@ -3,6 +3,8 @@
 use std::fmt::Display;
 use std::net::SocketAddrV4;
 
+use tanager_core::ResultCode;
+
 /// The result of an operation of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -31,6 +33,9 @@
     /// An answer of the store or a peer cannot be decoded.
     #[error("cannot decode the answer: {0}")]
     Answer(String),
+    /// An answer cannot be that of the call on whose connection it arrived.
+    #[error("{code}: {0}", code = ResultCode::AnswerForeign)]
+    Foreign(String),
     /// A socket cannot be opened.
     #[error("cannot listen on {address}: {source}")]
     Listen {
@@ -54,6 +59,12 @@
         Self::Answer(detail.to_string())
     }
 
+    /// Creates an [`Error::Foreign`].
+    #[must_use]
+    pub fn foreign(detail: impl Display) -> Self {
+        Self::Foreign(detail.to_string())
+    }
+
     /// Creates an [`Error::Unreachable`].
     #[must_use]
     pub fn unreachable(address: SocketAddrV4, detail: impl Display) -> Self {
--- a/crates/forwarder/src/http.rs
+++ b/crates/forwarder/src/http.rs
@@ -73,6 +73,12 @@
         Ok(answer)
     }
 
+    /// Closes the connection, so that the next request is sent on a new one. To be called after an
+    /// answer that cannot belong to its request: all later ones on the connection are in doubt.
+    pub fn close(&mut self) {
+        self.connection = None;
+    }
+
     async fn connect(&self) -> Result<Connection> {
         let address = self.address;
         let unreachable = |detail: &dyn std::fmt::Display| Error::unreachable(address, detail);
