Limit the requests in flight to overloaded services

Cause: targets queue 8 requests behind 2 slots, so beyond capacity every request waits longer than its objective before it runs.

Change: each instance limits its own requests in flight to a service while half of its answers are late or errors and most targets have queues. What exceeds the limit is shed: openings are reset at once, requests on open flows are dropped, and their retransmissions are no misses of the target. Requests that must not be repeated are shed last. Limits that begin or end are logged, refusals counted by cause.

Answers later than 150 ms were left out of the answer times; they are recorded now. Errors no longer lower the estimated length of a route's answers, since most answers of overloaded targets are errors.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -5,7 +5,7 @@
 
 use tanager_core::ServiceName;
 
-use crate::{Cookie, FlowKey, HealthChange, LivenessChange, TargetNumber};
+use crate::{Cookie, FlowKey, HealthChange, LimitChange, LivenessChange, TargetNumber};
 
 /// Where a packet is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +56,8 @@
     UnknownTarget,
     /// The view has no matching route, but it may be incomplete.
     NoRoutes,
+    /// Its service is overloaded. The client retransmits it.
+    Overloaded,
 }
 
 impl fmt::Display for DropReason {
@@ -65,6 +67,7 @@
             Self::NoCookie => "no-cookie",
             Self::UnknownTarget => "unknown-target",
             Self::NoRoutes => "no-routes",
+            Self::Overloaded => "overloaded",
         })
     }
 }
@@ -80,6 +83,8 @@
     TargetGone,
     /// The flow's target no longer responds.
     TargetLost,
+    /// The service is overloaded, and the flow has not opened.
+    Overloaded,
 }
 
 impl fmt::Display for ResetReason {
@@ -89,6 +94,7 @@
             Self::NoTarget => "no-target",
             Self::TargetGone => "target-gone",
             Self::TargetLost => "target-lost",
+            Self::Overloaded => "overloaded",
         })
     }
 }
@@ -133,4 +139,6 @@
     Liveness(LivenessChange),
     /// A target started or stopped failing requests.
     Health(HealthChange),
+    /// The requests in flight to a service started or stopped being limited.
+    Limit(LimitChange),
 }
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -21,6 +21,15 @@
 /// Time within which most answers are acknowledged. Clients retransmit their data after 200 ms.
 const EXPECTED_ANSWER_TIME: Duration = Duration::from_millis(200);
 
+/// Packets of a request that were shed because its service is overloaded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shed {
+    /// When the first one was shed.
+    pub first: Millis,
+    /// When the last decision to shed them was made.
+    pub last: Millis,
+}
+
 /// A request whose answer has not been acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Request {
@@ -58,6 +67,10 @@
     pub request: Option<Request>,
     /// The request whose answer is to be classified.
     pub pending_answer: Option<PendingAnswer>,
+    /// When the request in flight, or the opening, was admitted, if it still counts.
+    pub admitted: Option<Millis>,
+    /// When packets of the next request were shed, if they were.
+    pub shed: Option<Shed>,
     /// When the last packet was received.
     pub last_seen: Millis,
     /// Whether the client has finished sending.
@@ -75,6 +88,8 @@
             acknowledged: 0,
             request: None,
             pending_answer: None,
+            admitted: None,
+            shed: None,
             last_seen: now,
             finished: false,
         }
@@ -90,6 +105,8 @@
             acknowledged: segment.acknowledged,
             request: None,
             pending_answer: None,
+            admitted: None,
+            shed: None,
             last_seen: now,
             finished: false,
         }
@@ -130,6 +147,8 @@
     records: FastMap<FlowKey, Flow>,
     /// Requests that may still count as load.
     running: StartQueue,
+    /// Admitted requests and openings that may still count as in flight.
+    admitted: StartQueue,
     /// Requests whose answers may still have to be classified.
     pending_answers: StartQueue,
 }
@@ -177,6 +196,35 @@
         }
     }
 
+    /// Records that a request or an opening was admitted. Returns whether it was not counted yet: a
+    /// flow's first request was admitted with the opening.
+    pub fn admit(&mut self, key: &FlowKey, now: Millis) -> bool {
+        let Some(flow) = self.records.get_mut(key).filter(|f| f.admitted.is_none()) else {
+            return false;
+        };
+        flow.admitted = Some(now);
+        self.admitted.push(*key, now);
+        true
+    }
+
+    /// Stops counting the request of a flow. Returns whether it was counted.
+    pub fn end_admission(&mut self, key: &FlowKey) -> bool {
+        let flow = self.records.get_mut(key);
+        flow.is_some_and(|f| f.admitted.take().is_some())
+    }
+
+    /// Stops counting the next admitted request that has been in flight for too long, and returns
+    /// its flow.
+    pub fn take_overdue_admission(&mut self, now: Millis) -> Option<FlowKey> {
+        while let Some((at, key)) = self.admitted.take(ANSWER_TIMEOUT, now) {
+            let flow = self.records.get_mut(&key);
+            if flow.is_some_and(|f| f.admitted.take_if(|since| *since == at).is_some()) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
     /// Stops counting the next request whose load has timed out, and returns its target.
     pub fn take_overdue_request(&mut self, now: Millis) -> Option<TargetNumber> {
         while let Some((started, key)) = self.running.take(LOAD_TIMEOUT, now) {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -1,6 +1,7 @@
 //! Decides what happens to each packet. The submodules handle kinds of packets, updates of the
 //! view, and reports.
 
+mod admit;
 mod answers;
 mod established;
 mod open;
@@ -14,6 +15,7 @@
 use rand::rngs::StdRng;
 use tanager_core::{Millis, ServiceName, ZoneName};
 
+use crate::admission::Admission;
 use crate::flows::{Flow, Flows};
 use crate::health::Health;
 use crate::held::HeldPackets;
@@ -49,6 +51,7 @@
     /// Targets that have become lost and whose waiting requests have not been reset yet.
     newly_lost: Vec<TargetNumber>,
     loads: Loads,
+    admission: Admission,
     rng: StdRng,
     events: Vec<Event>,
     answer_times: Vec<Duration>,
@@ -71,6 +74,7 @@
             health: Health::default(),
             newly_lost: Vec::new(),
             loads: Loads::default(),
+            admission: Admission::default(),
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
             answer_times: Vec::new(),
@@ -86,6 +90,7 @@
     /// Decides what to do with a client's packet.
     pub fn handle_packet(&mut self, segment: &Segment, packet: &[u8], now: Millis) -> Action {
         self.end_overdue_requests(now);
+        self.update_admission(now);
         let decision = match segment.kind {
             SegmentKind::Forged => Err(DropReason::Forged),
             SegmentKind::Open { .. } => self.open(segment, packet, now),
@@ -168,6 +173,9 @@
         while let Some(target) = self.flows.take_overdue_request(now) {
             self.loads.end_request(target, now);
         }
+        while let Some(key) = self.flows.take_overdue_admission(now) {
+            self.end_admission(&key);
+        }
     }
 
     fn service_of(&self, key: &FlowKey) -> Option<ServiceName> {
@@ -234,6 +242,7 @@
     /// Releases the opening and the load of a removed flow.
     fn release_flow(&mut self, key: &FlowKey, flow: &Flow, now: Millis) {
         self.openings.remove(key);
+        self.stop_counting(key, flow);
         self.loads
             .close(flow.target, !flow.open, flow.is_running(), now);
     }
--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -30,7 +30,10 @@
         flow.pending_answer = None;
         let target = flow.target;
         if self.view.routes().find(key.service).is_some() {
-            self.health.record_answer(target, key.service, length, now);
+            let sound = self.health.record_answer(target, key.service, length, now);
+            if !sound && length > 0 {
+                self.record_failed_answer(key);
+            }
         }
     }
 
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -5,13 +5,16 @@
 use tanager_core::Millis;
 
 use super::{EVENT_LIMIT, Forwarder};
-use crate::flows::Flow;
-use crate::{Action, Cookie, DropReason, Segment, SegmentKind};
+use crate::flows::{Flow, Request, Shed};
+use crate::{Action, Cookie, DropReason, FlowKey, Segment, SegmentKind, TargetNumber};
 
 /// Age of a request from which repeated data counts as a retransmission rather than as reordered.
 /// Clients retransmit after 200 ms.
 const MIN_RETRANSMISSION_AGE: Duration = Duration::from_millis(150);
 
+/// Time after which a shed request is forgotten. Longer than the time between two retransmissions.
+const SHED_LIFETIME: Duration = Duration::from_secs(2);
+
 impl Forwarder {
     /// Handles a packet of an established flow.
     pub(super) fn handle_established(
@@ -30,7 +33,11 @@
                 None => Err(DropReason::UnknownTarget),
             };
         };
-        self.observe(segment, now);
+        self.observe_answer(segment, now);
+        if self.is_new_request(segment) && self.sheds_request(&key, target, now) {
+            return Err(DropReason::Overloaded);
+        }
+        self.observe_data(segment, now);
         if matches!(segment.kind, SegmentKind::Finish | SegmentKind::Abort) {
             self.classify_answer(&key, now);
         }
@@ -89,8 +96,38 @@
         Ok(())
     }
 
-    /// Updates the flow, and the load and liveness of its target, from a packet.
-    fn observe(&mut self, segment: &Segment, now: Millis) {
+    /// Returns whether a packet begins a request: it has new data while no answer is outstanding.
+    fn is_new_request(&self, segment: &Segment) -> bool {
+        let end = segment.sequence.wrapping_add(u32::from(segment.length));
+        let flow = self.flows.get(&segment.flow);
+        segment.kind == SegmentKind::Data
+            && segment.length > 0
+            && flow.is_some_and(|f| f.request.is_none() && is_after(end, f.sent))
+    }
+
+    /// Returns whether to shed a new request on an open flow. The client retransmits it.
+    fn sheds_request(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) -> bool {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return false;
+        };
+        if flow.admitted.is_some() {
+            return false;
+        }
+        let shed = flow.shed.filter(|s| now.since(s.last) < SHED_LIFETIME);
+        if shed.is_some_and(|s| now.since(s.last) < MIN_RETRANSMISSION_AGE) {
+            // Another packet of the request, or a copy.
+            return true;
+        }
+        let sheds = self.sheds(key, target, shed.map(|s| now.since(s.first)), now);
+        if let Some(flow) = self.flows.get_mut(key) {
+            let first = shed.map_or(now, |s| s.first);
+            flow.shed = sheds.then_some(Shed { first, last: now });
+        }
+        sheds
+    }
+
+    /// Updates the flow, and the load and liveness of its target, from what a packet acknowledges.
+    fn observe_answer(&mut self, segment: &Segment, now: Millis) {
         let key = segment.flow;
         let Some(flow) = self.flows.get_mut(&key) else {
             return;
@@ -100,25 +137,41 @@
         if is_after(segment.acknowledged, flow.acknowledged) {
             flow.acknowledged = segment.acknowledged;
             self.liveness.record_response(target, now);
-            if let Some(request) = flow.request.take()
-                && request.counted
-            {
-                let time = now.since(request.started);
-                self.loads.end_request(target, now);
-                if self.answer_times.len() < EVENT_LIMIT {
-                    self.answer_times.push(time);
-                }
+            if let Some(request) = flow.request.take() {
+                self.end_request(&key, target, request, now);
             }
         }
-        if segment.length == 0 {
-            return;
+    }
+
+    /// Records that a request was answered.
+    fn end_request(&mut self, key: &FlowKey, target: TargetNumber, request: Request, now: Millis) {
+        let time = now.since(request.started);
+        if request.counted {
+            self.loads.end_request(target, now);
+        }
+        if self.flows.end_admission(key) {
+            self.end_admission(key);
+        }
+        self.record_answer_time(key, time);
+        if self.answer_times.len() < EVENT_LIMIT {
+            self.answer_times.push(time);
         }
+    }
+
+    /// Updates the flow, and the load and liveness of its target, from the data of a packet.
+    fn observe_data(&mut self, segment: &Segment, now: Millis) {
+        let key = segment.flow;
+        let Some(flow) = self.flows.get_mut(&key).filter(|_| segment.length > 0) else {
+            return;
+        };
+        let target = flow.target;
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
         if is_after(end, flow.sent) {
             flow.sent = end;
             if flow.request.is_none() {
                 self.flows.start_request(key, now);
                 self.loads.start_request(target, now);
+                self.start_counting(&key, now);
             }
             self.expect_answer(key, now);
         } else if let Some(request) = &mut flow.request
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -31,11 +31,15 @@
         let Some(choice) = self.choose(&service, &[], now) else {
             return Ok(self.reset(key, None, ResetReason::NoTarget, 0));
         };
+        if self.sheds(&key, choice.target, None, now) {
+            return Ok(self.reset(key, None, ResetReason::Overloaded, 0));
+        }
         self.remove_flow(&key, now);
         let flow = Flow::opening(choice.target, segment, now);
         if self.flows.insert(key, flow) {
             self.loads.open(choice.target, now);
             self.openings.insert(key, packet, choice.target, now);
+            self.start_counting(&key, now);
         }
         self.record_placement(key, service, choice, 0);
         self.forward_to(choice.target).map(Action::Forward)
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -30,6 +30,9 @@
 const MAX_ERROR_LENGTH: f64 = 512.0;
 /// Fraction by which one answer changes the estimated typical length.
 const LENGTH_STEP: f64 = 0.05;
+/// The same for a short answer. It lets the estimate follow a route whose answers have become
+/// shorter.
+const SHORT_STEP: f64 = 0.002;
 /// Successful answers that are added to each tally, so that a single failure without any answer
 /// counts as half of the requests.
 const PRIOR_SUCCESSES: f64 = 1.0;
@@ -148,11 +151,13 @@
 }
 
 impl TypicalLength {
-    /// Updates the estimate with an answer. It tracks the median, which a few errors or very long
-    /// answers do not shift.
-    fn observe(&mut self, length: f64) {
+    /// Updates the estimate with an answer. It tracks the median of the answers that are not
+    /// `short`, since most answers of overloaded targets are errors.
+    fn observe(&mut self, length: f64, short: bool) {
         if self.answers == 0 {
             self.length = length;
+        } else if short {
+            self.length *= 1.0 - SHORT_STEP;
         } else if length > self.length {
             self.length *= 1.0 + LENGTH_STEP;
         } else {
@@ -187,18 +192,21 @@
 
 impl Health {
     /// Classifies the answer to a request that was sent to the address of `route`, and counts it.
+    /// Returns whether it was successful.
     pub fn record_answer(
         &mut self,
         target: TargetNumber,
         route: Endpoint,
         length: u32,
         now: Millis,
-    ) {
-        let outcome = match self.classify(route, length) {
+    ) -> bool {
+        let outcome = self.classify(route, length);
+        let tally = match outcome {
             Outcome::Answered => Tally::ANSWERED,
             Outcome::Failed => Tally::FAILED,
         };
-        self.add(target, outcome, now);
+        self.add(target, tally, now);
+        outcome == Outcome::Answered
     }
 
     /// Counts a request that a client retransmitted because the target did not accept it.
@@ -222,7 +230,7 @@
         let typical = self.typical_lengths.entry(route).or_default();
         let established = typical.answers >= MIN_ANSWERS;
         let short = established && length < MAX_ERROR_LENGTH.min(typical.length * SHORT_RATIO);
-        typical.observe(length);
+        typical.observe(length, short);
         if short {
             Outcome::Failed
         } else {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -9,6 +9,7 @@
 //! of an open flow. All other state per flow only improves decisions.
 
 mod action;
+mod admission;
 mod beacon;
 mod flows;
 mod forwarder;
@@ -25,6 +26,7 @@
 mod view;
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
+pub use admission::LimitChange;
 pub use beacon::{Beacon, LoadReport, MemberReport};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -8,7 +8,7 @@
 use opentelemetry::metrics::Histogram;
 use slog::{Logger, info, warn};
 use tanager_core::{Clock, Millis};
-use tanager_forward::{Event, Gauges};
+use tanager_forward::{DropReason, Event, Gauges, ResetReason};
 use tanagerproxy::counters;
 use tanagerproxy::settings::LogSettings;
 use tanagerproxy::telemetry::{Exporter, Log};
@@ -44,6 +44,10 @@
     pub openings_replaced: Counter,
     /// Flows reset by this instance.
     pub flows_reset: Counter,
+    /// Openings reset because their service was overloaded.
+    pub openings_refused: Counter,
+    /// Packets of requests dropped because their service was overloaded.
+    pub packets_shed: Counter,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -267,9 +271,19 @@
         match event {
             Event::Placed { attempt: 0, .. } => counters.flows_placed.increment(),
             Event::Placed { .. } => counters.openings_replaced.increment(),
-            Event::Reset { .. } => counters.flows_reset.increment(),
-            Event::Dropped { .. } => counters.packets_dropped.increment(),
-            Event::Liveness(_) | Event::Health(_) => {}
+            Event::Reset { reason, .. } => {
+                counters.flows_reset.increment();
+                if *reason == ResetReason::Overloaded {
+                    counters.openings_refused.increment();
+                }
+            }
+            Event::Dropped { reason, .. } => {
+                counters.packets_dropped.increment();
+                if *reason == DropReason::Overloaded {
+                    counters.packets_shed.increment();
+                }
+            }
+            Event::Liveness(_) | Event::Health(_) | Event::Limit(_) => {}
         }
     }
 
@@ -312,6 +326,10 @@
                 "rate" => rounded(change.rate), "sound" => rounded(change.tally.sound),
                 "failures" => rounded(change.tally.failures),
                 "revision" => revision, "view_age_ms" => age_ms),
+            Event::Limit(change) => info!(self.log, "[forward] service limit";
+                "service" => %change.service, "limit" => change.limit.map(rounded),
+                "running" => change.running, "late_share" => rounded(change.late_share),
+                "revision" => revision, "view_age_ms" => age_ms),
         }
     }
 }
--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -26,6 +26,8 @@
     pub targets: u16,
     /// Requests per second.
     pub rate: f64,
+    /// Time within which callers want their answers.
+    pub objective: Duration,
     /// Simulated time during which requests arrive.
     pub length: Duration,
     /// Start and length of a burst, and the factor by which it multiplies the rate.
@@ -43,6 +45,7 @@
             instances: 8,
             targets: 18,
             rate: 300.0,
+            objective: Duration::from_millis(400),
             length: Duration::from_secs(6),
             burst: None,
             vanish: None,
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -49,13 +49,13 @@
     "screens".parse().expect("a valid name")
 }
 
-fn route(port: u16, kind: Kind) -> Route {
+fn route(port: u16, kind: Kind, objective: Duration) -> Route {
     Route {
         name: format!("port-{port}"),
         address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
         kind,
         timeout: DEADLINE,
-        objective: DEADLINE,
+        objective,
         priority: 1,
         services: vec![ServiceShare {
             service: service(),
@@ -94,8 +94,8 @@
             forwarder.apply(Change::published(target(index, settings), REVISION), now);
         }
         let routes = vec![
-            route(FEED_PORT, Kind::Idempotent),
-            route(ORDER_PORT, Kind::NonIdempotent),
+            route(FEED_PORT, Kind::Idempotent, settings.objective),
+            route(ORDER_PORT, Kind::NonIdempotent, settings.objective),
         ];
         forwarder.apply_routes(RouteTable::new(1, REVISION, IDLE_TIMEOUT, routes));
         forwarder.advance(REVISION);
--- a/crates/standins/src/model/report.rs
+++ b/crates/standins/src/model/report.rs
@@ -6,8 +6,6 @@
 use hdrhistogram::Histogram;
 use tanager_forward::Kind;
 
-/// Latency goal of an answer.
-const LATENCY_GOAL: Duration = Duration::from_millis(400);
 /// Upper bound of the latency histogram in milliseconds.
 const MAX_LATENCY_MS: u64 = 60_000;
 
@@ -16,7 +14,7 @@
 pub struct Report {
     /// Requests that callers started.
     pub asked: u64,
-    /// Requests answered within the latency goal.
+    /// Requests answered within the objective.
     pub within_goal: u64,
     /// Requests answered later than that.
     pub late: u64,
@@ -50,8 +48,8 @@
 
 impl Report {
     /// Records an answer with the time since its request started.
-    pub(super) fn record_answer(&mut self, latency: Duration) {
-        if latency <= LATENCY_GOAL {
+    pub(super) fn record_answer(&mut self, latency: Duration, objective: Duration) {
+        if latency <= objective {
             self.within_goal += 1;
         } else {
             self.late += 1;
--- a/crates/standins/src/model/world/requests.rs
+++ b/crates/standins/src/model/world/requests.rs
@@ -172,7 +172,8 @@
     fn handle_answer(&mut self, id: ConnectionId, request: RequestId) {
         let entry = &mut self.requests[request];
         entry.finished = true;
-        self.report.record_answer(self.now.since(entry.started));
+        let latency = self.now.since(entry.started);
+        self.report.record_answer(latency, self.settings.objective);
         let last = entry.kind != Kind::Idempotent;
         let connection = &mut self.connections[id];
         connection.request = None;
