Count a request in flight where it started

Cause: the start and the end of a request in flight looked up the service of its route. When a configuration changed that service in between, the request counted forever: after one change, 47 requests counted as in flight instead of at most 24, and the first limit of the next overload would be too high.

Change: a flow keeps where its request is counted. This also saves the lookup at its end.

Result: the new test in overload.rs fails before the change (47 in flight) and passes after it.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -78,6 +78,10 @@
     }
 }
 
+/// Where the requests in flight to a service are counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadId(usize);
+
 /// A service whose targets have queues.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Overload {
@@ -162,30 +166,42 @@
 /// The requests in flight and limits of all services.
 #[derive(Debug, Default)]
 pub struct Admission {
-    services: FastMap<ServiceName, ServiceLoad>,
+    services: FastMap<ServiceName, LoadId>,
+    loads: Vec<ServiceLoad>,
 }
 
 impl Admission {
-    /// Counts a request or an opening that is sent to a service.
-    pub fn start(&mut self, service: &ServiceName) {
-        if let Some(load) = self.services.get_mut(service) {
-            load.running += 1;
-        } else {
-            let load = self.services.entry(service.clone()).or_default();
-            load.running += 1;
-        }
+    /// Counts a request or an opening that is sent to a service. Returns where it is counted, since
+    /// the service of its route may change before it ends.
+    pub fn start(&mut self, service: &ServiceName) -> LoadId {
+        let id = self.find(service).unwrap_or_else(|| {
+            let id = LoadId(self.loads.len());
+            self.loads.push(ServiceLoad::default());
+            self.services.insert(service.clone(), id);
+            id
+        });
+        self.loads[id.0].running += 1;
+        id
     }
 
     /// Counts the end of a request.
-    pub fn end(&mut self, service: &ServiceName) {
-        if let Some(load) = self.services.get_mut(service) {
-            load.running = load.running.saturating_sub(1);
-        }
+    pub fn end(&mut self, id: LoadId) {
+        let load = &mut self.loads[id.0];
+        load.running = load.running.saturating_sub(1);
+    }
+
+    fn find(&self, service: &ServiceName) -> Option<LoadId> {
+        self.services.get(service).copied()
+    }
+
+    fn load_mut(&mut self, service: &ServiceName) -> Option<&mut ServiceLoad> {
+        let id = self.find(service)?;
+        self.loads.get_mut(id.0)
     }
 
     /// Records the time that a service took to answer a request.
     pub fn record_answer(&mut self, service: &ServiceName, route: &Route, time: Duration) {
-        if let Some(load) = self.services.get_mut(service)
+        if let Some(load) = self.load_mut(service)
             && !route.objective.is_zero()
         {
             load.answers += 1;
@@ -200,23 +216,24 @@
 
     /// Records that an answer was an error. Overloaded targets refuse requests that have waited.
     pub fn record_failure(&mut self, service: &ServiceName) {
-        if let Some(load) = self.services.get_mut(service) {
+        if let Some(load) = self.load_mut(service) {
             load.late += 1;
         }
     }
 
     /// Returns whether a request of a class exceeds the limit of its service.
     pub fn is_exceeded(&self, service: &ServiceName, class: Class) -> bool {
-        let Some(load) = self.services.get(service) else {
+        let Some(id) = self.find(service) else {
             return false;
         };
+        let load = &self.loads[id.0];
         let room = load.limit.map(|limit| limit * class.part());
         room.is_some_and(|room| f64::from(load.running) >= room)
     }
 
     /// Records that a request was shed.
     pub fn record_shed(&mut self, service: &ServiceName, now: Millis) {
-        if let Some(load) = self.services.get_mut(service) {
+        if let Some(load) = self.load_mut(service) {
             load.shed = now;
         }
     }
@@ -229,7 +246,8 @@
         find_overload: impl Fn(&ServiceName) -> Option<Overload>,
     ) -> Vec<LimitChange> {
         let mut changed = Vec::new();
-        for (service, load) in &mut self.services {
+        for (service, id) in &self.services {
+            let load = &mut self.loads[id.0];
             if !load.is_due(now) {
                 continue;
             }
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -5,6 +5,7 @@
 
 use tanager_core::{FastMap, Millis};
 
+use crate::admission::LoadId;
 use crate::{FlowKey, Segment, TargetNumber};
 
 /// Maximum number of flows in the table. Packets of other flows are forwarded by cookie alone.
@@ -21,6 +22,15 @@
 /// Time within which most answers are acknowledged. Clients retransmit their data after 200 ms.
 const EXPECTED_ANSWER_TIME: Duration = Duration::from_millis(200);
 
+/// A request or an opening that counts as in flight to its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Admitted {
+    /// When it was admitted.
+    pub since: Millis,
+    /// Where it is counted.
+    pub load: LoadId,
+}
+
 /// Packets of a request that were shed because its service is overloaded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shed {
@@ -67,8 +77,8 @@
     pub request: Option<Request>,
     /// The request whose answer is to be classified.
     pub pending_answer: Option<PendingAnswer>,
-    /// When the request in flight, or the opening, was admitted, if it still counts.
-    pub admitted: Option<Millis>,
+    /// The request in flight, or the opening, if it still counts as in flight.
+    pub admitted: Option<Admitted>,
     /// When packets of the next request were shed, if they were.
     pub shed: Option<Shed>,
     /// When the last packet was received.
@@ -196,30 +206,28 @@
         }
     }
 
-    /// Records that a request or an opening was admitted. Returns whether it was not counted yet: a
-    /// flow's first request was admitted with the opening.
-    pub fn admit(&mut self, key: &FlowKey, now: Millis) -> bool {
-        let Some(flow) = self.records.get_mut(key).filter(|f| f.admitted.is_none()) else {
-            return false;
-        };
-        flow.admitted = Some(now);
-        self.admitted.push(*key, now);
-        true
+    /// Records where an admitted request or opening of a flow is counted.
+    pub fn admit(&mut self, key: &FlowKey, load: LoadId, now: Millis) {
+        if let Some(flow) = self.records.get_mut(key) {
+            flow.admitted = Some(Admitted { since: now, load });
+            self.admitted.push(*key, now);
+        }
     }
 
-    /// Stops counting the request of a flow. Returns whether it was counted.
-    pub fn end_admission(&mut self, key: &FlowKey) -> bool {
-        let flow = self.records.get_mut(key);
-        flow.is_some_and(|f| f.admitted.take().is_some())
+    /// Stops counting the request of a flow. Returns where it was counted, if it was.
+    pub fn end_admission(&mut self, key: &FlowKey) -> Option<LoadId> {
+        let flow = self.records.get_mut(key)?;
+        flow.admitted.take().map(|a| a.load)
     }
 
     /// Stops counting the next admitted request that has been in flight for too long, and returns
-    /// its flow.
-    pub fn take_overdue_admission(&mut self, now: Millis) -> Option<FlowKey> {
+    /// where it was counted.
+    pub fn take_overdue_admission(&mut self, now: Millis) -> Option<LoadId> {
         while let Some((at, key)) = self.admitted.take(ANSWER_TIMEOUT, now) {
             let flow = self.records.get_mut(&key);
-            if flow.is_some_and(|f| f.admitted.take_if(|since| *since == at).is_some()) {
-                return Some(key);
+            let overdue = flow.and_then(|f| f.admitted.take_if(|a| a.since == at));
+            if let Some(admitted) = overdue {
+                return Some(admitted.load);
             }
         }
         None
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -173,8 +173,8 @@
         while let Some(target) = self.flows.take_overdue_request(now) {
             self.loads.end_request(target, now);
         }
-        while let Some(key) = self.flows.take_overdue_admission(now) {
-            self.end_admission(&key);
+        while let Some(load) = self.flows.take_overdue_admission(now) {
+            self.admission.end(load);
         }
     }
 
@@ -242,7 +242,9 @@
     /// Releases the opening and the load of a removed flow.
     fn release_flow(&mut self, key: &FlowKey, flow: &Flow, now: Millis) {
         self.openings.remove(key);
-        self.stop_counting(key, flow);
+        if let Some(admitted) = flow.admitted {
+            self.admission.end(admitted.load);
+        }
         self.loads
             .close(flow.target, !flow.open, flow.is_running(), now);
     }
--- a/crates/forward/src/forwarder/admit.rs
+++ b/crates/forward/src/forwarder/admit.rs
@@ -6,7 +6,6 @@
 
 use super::Forwarder;
 use crate::admission::{Class, Overload};
-use crate::flows::Flow;
 use crate::view::{TargetEntry, View};
 use crate::{Event, FlowKey, Liveness, TargetNumber, TargetState};
 
@@ -94,24 +93,10 @@
 
     /// Counts an admitted request of a flow, unless it was counted with the flow's opening.
     pub(super) fn start_counting(&mut self, key: &FlowKey, now: Millis) {
-        if self.flows.admit(key, now)
-            && let Some(service) = service_of(&self.view, key)
-        {
-            self.admission.start(service);
-        }
-    }
-
-    /// Stops counting the request of a removed flow, if it still counts.
-    pub(super) fn stop_counting(&mut self, key: &FlowKey, flow: &Flow) {
-        if flow.admitted.is_some() {
-            self.end_admission(key);
-        }
-    }
-
-    /// Counts the end of a request of a flow.
-    pub(super) fn end_admission(&mut self, key: &FlowKey) {
-        if let Some(service) = service_of(&self.view, key) {
-            self.admission.end(service);
+        let counted = self.flows.get(key).is_none_or(|f| f.admitted.is_some());
+        if !counted && let Some(service) = service_of(&self.view, key) {
+            let load = self.admission.start(service);
+            self.flows.admit(key, load, now);
         }
     }
 
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -149,8 +149,8 @@
         if request.counted {
             self.loads.end_request(target, now);
         }
-        if self.flows.end_admission(key) {
-            self.end_admission(key);
+        if let Some(load) = self.flows.end_admission(key) {
+            self.admission.end(load);
         }
         self.record_answer_time(key, time);
         if self.answer_times.len() < EVENT_LIMIT {
--- a/crates/forward/tests/overload.rs
+++ b/crates/forward/tests/overload.rs
@@ -2,8 +2,12 @@
 
 mod common;
 
-use common::{Client, FEED_PORT, ORDER_PORT, at, forwarder, open_flow};
-use tanager_forward::{Action, DropReason, Event, Forwarder, Liveness, ResetReason};
+use std::time::Duration;
+
+use common::{Client, FEED_PORT, ORDER_PORT, REVISION, at, forwarder, open_flow, route, routes};
+use tanager_forward::{
+    Action, DropReason, Event, Forwarder, Kind, Liveness, ResetReason, RouteTable,
+};
 
 /// Targets of the service, with two slots each.
 const TARGETS: u64 = 2;
@@ -199,3 +203,28 @@
     let forwarded = |a: &Action| matches!(a, Action::Forward(_));
     assert!(actions.iter().all(forwarded), "{actions:?}");
 }
+
+/// Guards against requests that count as in flight forever because the service of their route
+/// changed before they were answered.
+#[test]
+fn a_change_of_a_route_leaves_no_requests_counted() {
+    let mut scene = Scene::new(FLOWS);
+    scene.run(1, FAST_ANSWER);
+    let other = vec![route(FEED_PORT, Kind::Idempotent, "other")];
+    let other = RouteTable::new(2, REVISION, Duration::ZERO, other);
+    scene.forwarder.apply_routes(other);
+    while scene.running.contains(&true) {
+        scene.answer_next();
+    }
+    scene.forwarder.apply_routes(routes(3));
+
+    scene.run(8, SLOW_ANSWER);
+
+    let events = scene.forwarder.take_events(at(scene.now));
+    let running = events.iter().find_map(|e| match e {
+        Event::Limit(change) => Some(change.running),
+        _ => None,
+    });
+    let running = running.expect("a limit");
+    assert!(running <= u32::from(FLOWS), "{running} in flight");
+}
