Hold shedding to its stated bound, and look up routes in one place

A test allowed 0.1% of requests to fail below the capacity, with one seed, although the target is none; another allowed goodput to fall by a tenth where it has to stay flat. The route and service of a flow were looked up in four places.

Change: both tests use the stated bound, the first with eight seeds. One function finds a flow's route and service. No behaviour changes.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -167,6 +167,8 @@
 #[derive(Debug, Default)]
 pub struct Admission {
     services: FastMap<ServiceName, LoadId>,
+    /// Invariant: one entry for each of `services`; entries are never removed, so that a [`LoadId`]
+    /// stays valid.
     loads: Vec<ServiceLoad>,
 }
 
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -25,8 +25,8 @@
 use crate::place::{Choice, Placement};
 use crate::view::View;
 use crate::{
-    Action, DropReason, DueAction, Event, FlowKey, Forward, ResetReason, Segment, SegmentKind,
-    TargetNumber,
+    Action, DropReason, DueAction, Event, FlowKey, Forward, ResetReason, Route, Segment,
+    SegmentKind, TargetNumber,
 };
 pub use reports::Gauges;
 
@@ -179,8 +179,7 @@
     }
 
     fn service_of(&self, key: &FlowKey) -> Option<ServiceName> {
-        let route = self.view.routes().find(key.service)?;
-        route.service(key).cloned()
+        route_of(&self.view, key).map(|(_, service)| service.clone())
     }
 
     fn choose(
@@ -272,3 +271,10 @@
         }
     }
 }
+
+/// Returns the route of a flow and its service. Borrows only the view, so that a caller can update
+/// the other parts of the forwarder.
+fn route_of<'v>(view: &'v View, key: &FlowKey) -> Option<(&'v Route, &'v ServiceName)> {
+    let route = view.routes().find(key.service)?;
+    Some((route, route.service(key)?))
+}
--- a/crates/forward/src/forwarder/admit.rs
+++ b/crates/forward/src/forwarder/admit.rs
@@ -4,9 +4,9 @@
 
 use tanager_core::{Millis, ServiceName};
 
-use super::Forwarder;
+use super::{Forwarder, route_of};
 use crate::admission::{Class, Overload};
-use crate::view::{TargetEntry, View};
+use crate::view::TargetEntry;
 use crate::{Event, FlowKey, Liveness, TargetNumber, TargetState};
 
 /// Requests in flight per slot from which requests wait at a target. Some of the requests in flight
@@ -46,10 +46,9 @@
             own += load.running;
             all += load.running + load.others;
         }
-        let overload = Overload {
+        (queued > free).then(|| Overload {
             slots: slots * own / all,
-        };
-        (queued > free).then_some(overload)
+        })
     }
 
     /// Returns whether requests wait at a target. Requests to a removed or lost target are not shed,
@@ -75,10 +74,7 @@
         waited: Option<Duration>,
         now: Millis,
     ) -> bool {
-        let Some(route) = self.view.routes().find(key.service) else {
-            return false;
-        };
-        let Some(service) = route.service(key) else {
+        let Some((route, service)) = route_of(&self.view, key) else {
             return false;
         };
         let exceeded = self
@@ -94,7 +90,7 @@
     /// Counts an admitted request of a flow, unless it was counted with the flow's opening.
     pub(super) fn start_counting(&mut self, key: &FlowKey, now: Millis) {
         let counted = self.flows.get(key).is_none_or(|f| f.admitted.is_some());
-        if !counted && let Some(service) = service_of(&self.view, key) {
+        if !counted && let Some((_, service)) = route_of(&self.view, key) {
             let load = self.admission.start(service);
             self.flows.admit(key, load, now);
         }
@@ -102,24 +98,15 @@
 
     /// Records that a request of a flow was answered by an error.
     pub(super) fn record_failed_answer(&mut self, key: &FlowKey) {
-        let route = self.view.routes().find(key.service);
-        if let Some(service) = route.and_then(|r| r.service(key)) {
+        if let Some((_, service)) = route_of(&self.view, key) {
             self.admission.record_failure(service);
         }
     }
 
     /// Records the time that a request of a flow took.
     pub(super) fn record_answer_time(&mut self, key: &FlowKey, time: Duration) {
-        let Some(route) = self.view.routes().find(key.service) else {
-            return;
-        };
-        if let Some(service) = route.service(key) {
+        if let Some((route, service)) = route_of(&self.view, key) {
             self.admission.record_answer(service, route, time);
         }
     }
 }
-
-/// Returns the service of a flow.
-fn service_of<'v>(view: &'v View, key: &FlowKey) -> Option<&'v ServiceName> {
-    view.routes().find(key.service)?.service(key)
-}
--- a/crates/standins/tests/overload.rs
+++ b/crates/standins/tests/overload.rs
@@ -68,17 +68,17 @@
 fn goodput_does_not_fall_with_more_load() {
     let (beyond, far_beyond) = (lowest_goodput(1.3), lowest_goodput(4.0));
 
-    assert!(far_beyond >= beyond * 0.9, "{beyond} and {far_beyond}");
+    assert!(far_beyond >= beyond, "{beyond} and {far_beyond}");
 }
 
 /// Guards against shedding that lets a fleet below its capacity lose requests.
 #[test]
-fn few_requests_below_the_capacity_fail() {
+fn no_request_below_the_capacity_fails() {
     let settings = overload(8, 18, 0.85);
 
-    let report = simulate(&settings, 0);
+    let failed: Vec<_> = (0..8)
+        .map(|seed| simulate(&settings, seed).failed)
+        .collect();
 
-    #[expect(clippy::cast_precision_loss, reason = "a small count")]
-    let failed = report.failed as f64 / report.asked as f64;
-    assert!(failed < 0.001, "{report}");
+    assert!(failed.iter().all(|f| *f == 0), "failed by seed: {failed:?}");
 }
