Log the epoch of the store's history

The store counts in each answer how often it was restored from an older copy. The client dropped that header, so a revision in the logs could be one of the old history or the same number of the new one. A batch read from the store now carries its epoch, and the reader logs a change of it.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -11,6 +11,7 @@
 mod action;
 mod admission;
 mod beacon;
+mod epoch;
 mod flows;
 mod forwarder;
 mod health;
@@ -28,6 +29,7 @@
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
 pub use admission::LimitChange;
 pub use beacon::{Beacon, LoadReport, MemberReport};
+pub use epoch::Epoch;
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
 pub use health::{HealthChange, Tally};
--- a/crates/forwarder/src/http.rs
+++ b/crates/forwarder/src/http.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt as _, Empty};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::{Request, StatusCode, header};
+use hyper::{HeaderMap, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -30,6 +30,17 @@
     }
 }
 
+/// A complete answer to a request.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
 /// A client of one HTTP server that has at most one request in progress.
 pub struct HttpClient {
     address: SocketAddrV4,
@@ -58,7 +69,7 @@
     /// # Errors
     ///
     /// Returns [`Error::Unreachable`] if there is no response within the time limit.
-    pub async fn get(&mut self, path: &str, limit: Duration) -> Result<(StatusCode, Bytes)> {
+    pub async fn get(&mut self, path: &str, limit: Duration) -> Result<Answer> {
         // Moved out of `self`, so that a cancelled or failed request also closes the connection.
         let connection = match self.connection.take() {
             Some(connection) if !connection.requests.is_closed() => connection,
@@ -102,15 +113,19 @@
     requests: &mut SendRequest<Empty<Bytes>>,
     address: SocketAddrV4,
     path: &str,
-) -> Result<(StatusCode, Bytes)> {
+) -> Result<Answer> {
     let request = Request::get(path)
         .header(header::HOST, address.to_string())
         .body(Empty::new())
         .map_err(|e| Error::unreachable(address, e))?;
     let sent = requests.send_request(request).await;
     let response = sent.map_err(|e| Error::unreachable(address, e))?;
-    let status = response.status();
-    let body = response.into_body().collect().await;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await;
     let body = body.map_err(|e| Error::unreachable(address, e))?;
-    Ok((status, body.to_bytes()))
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -20,6 +20,6 @@
 
 pub use clients::PacketFormat;
 pub use error::{Error, Result};
-pub use http::HttpClient;
+pub use http::{Answer, HttpClient};
 pub use run::{Signals, run};
 pub use source::{Page, Publication, PublicationBatch, Source};
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -190,12 +190,12 @@
     let address = SocketAddrV4::new(*peer.ip(), instance.settings.views.port());
     let path = format!("/view?after={revision}");
     let mut client = HttpClient::new(address);
-    let (status, body) = client.get(&path, PULL_TIMEOUT).await?;
-    if status != StatusCode::OK {
-        let status = status.as_u16();
+    let answer = client.get(&path, PULL_TIMEOUT).await?;
+    if answer.status != StatusCode::OK {
+        let status = answer.status.as_u16();
         return Err(Error::Refused { address, status });
     }
-    let delta: Delta = postcard::from_bytes(&body).map_err(Error::answer)?;
+    let delta: Delta = postcard::from_bytes(&answer.body).map_err(Error::answer)?;
     instance.reporter.counters.views_pulled.increment();
     let now = instance.now();
     let mut forwarder = instance.forwarder.borrow_mut();
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use rand::RngExt as _;
-use slog::info;
-use tanager_forward::Role;
+use slog::{info, warn};
+use tanager_forward::{Epoch, Role};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -62,6 +62,8 @@
     full_read: Option<FullRead>,
     /// Number of consecutive failed calls.
     failures: u32,
+    /// The epoch of the last answer.
+    epoch: Option<Epoch>,
 }
 
 impl<S: Source + 'static> Reader<S> {
@@ -72,6 +74,7 @@
             full_read_needed: false,
             full_read: None,
             failures: 0,
+            epoch: None,
             instance,
         }
     }
@@ -106,6 +109,7 @@
         self.discard_full_read();
         let started = self.instance.now();
         let batch = self.store.watch(revision, WATCH_WAIT).await?;
+        self.record_epoch(batch.epoch, batch.revision);
         let changed = !batch.items.is_empty();
         apply_publications(&self.instance, batch.items, Detail::Each);
         let mut forwarder = self.instance.forwarder.borrow_mut();
@@ -142,6 +146,7 @@
     async fn read_targets(&mut self) -> Result<bool> {
         while self.full_read.as_ref().is_some_and(|p| !p.targets_done) {
             let page = self.store.read_page().await?;
+            self.record_epoch(page.batch.epoch, page.batch.revision);
             let pages = self.full_read.as_mut().map_or(0, |full_read| {
                 full_read.add(&page);
                 full_read.pages
@@ -195,7 +200,7 @@
         let removed = forwarder.remove_unlisted(|n| full_read.listed.contains(&n), revision, now);
         forwarder.advance(revision);
         forwarder.record_verified(full_read.started);
-        info!(self.instance.reporter.log, "[store] read"; "revision" => revision,
+        info!(self.instance.reporter.log, "[store] read"; "epoch" => self.epoch.map(Epoch::get), "revision" => revision,
             "items" => full_read.items + routes_count, "gone" => removed.len(),
             "config" => forwarder.view().routes().version);
         self.full_read_needed = false;
@@ -220,6 +225,15 @@
         false
     }
 
+    /// Logs a change of the store's epoch.
+    fn record_epoch(&mut self, epoch: Epoch, revision: u64) {
+        let before = self.epoch.replace(epoch);
+        if before.is_some_and(|before| before != epoch) {
+            warn!(self.instance.reporter.log, "[store] restored"; "epoch" => %epoch,
+                "before" => before.map(Epoch::get), "revision" => revision);
+        }
+    }
+
     /// Records the outcome of a call and pauses until the next one is due.
     async fn handle_outcome(&mut self, outcome: Result<bool>) {
         let calls = self.store.take_calls();
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -8,7 +8,7 @@
 
 use tanager_core::{Clock, Incarnation};
 use tanager_forward::{
-    Change, Kind, Route, RouteTable, ServiceShare, Target, TargetNumber, TargetState,
+    Change, Epoch, Kind, Route, RouteTable, ServiceShare, Target, TargetNumber, TargetState,
 };
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::task::{LocalSet, spawn_local};
@@ -103,6 +103,7 @@
         batch: PublicationBatch {
             items: vec![Publication::Target(change)],
             revision,
+            epoch: Epoch::default(),
         },
         more,
     }
@@ -125,6 +126,7 @@
     PublicationBatch {
         items: vec![Publication::Routes(table)],
         revision,
+        epoch: Epoch::default(),
     }
 }
 
--- a/crates/forwarder/src/source.rs
+++ b/crates/forwarder/src/source.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use tanager_forward::{Change, RouteTable, TargetNumber};
+use tanager_forward::{Change, Epoch, RouteTable, TargetNumber};
 
 use crate::Result;
 
@@ -34,6 +34,8 @@
     pub items: Vec<Publication>,
     /// All changes up to this revision are in `items`.
     pub revision: u64,
+    /// The epoch of all its revisions.
+    pub epoch: Epoch,
 }
 
 /// One page of the published targets.
