--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::Incarnation;
 
-use crate::{Cookie, Tally, TargetLoad};
+use crate::{Cookie, Epoch, StoreRevision, Tally, TargetLoad, ViewVersion};
 
 /// A report on another instance, as gossiped in a [`Beacon`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -120,7 +120,7 @@
     pub store_reachable: bool,
     /// Whether it acts as its zone's hub.
     pub hub: bool,
-    /// The revision up to which its view is complete.
+    /// The number of the revision up to which its view is complete.
     pub revision: u64,
     /// Time in milliseconds since its view was last verified to be complete.
     pub age_ms: u32,
@@ -128,4 +128,19 @@
     pub members: Vec<MemberReport>,
     /// Load placed by the sender, or by its zone if it is the hub.
     pub loads: Vec<LoadReport>,
+    /// The epoch of the revision. Older builds ignore what follows `loads`.
+    pub epoch: Epoch,
+    /// The version of its routes.
+    pub routes: u64,
+}
+
+impl Beacon {
+    /// Returns the version of the sender's view.
+    #[must_use]
+    pub const fn view(&self) -> ViewVersion {
+        ViewVersion {
+            revision: StoreRevision::new(self.epoch, self.revision),
+            routes: self.routes,
+        }
+    }
 }
--- a/crates/forward/src/forwarder/updates.rs
+++ b/crates/forward/src/forwarder/updates.rs
@@ -6,7 +6,7 @@
 
 use super::Forwarder;
 use crate::view::UpdateEffect;
-use crate::{Change, Delta, RouteTable, TargetNumber};
+use crate::{Change, Delta, RouteTable, StoreRevision, TargetNumber};
 
 impl Forwarder {
     /// Records that the view was complete at a time.
@@ -28,6 +28,14 @@
         effect != UpdateEffect::Stale
     }
 
+    /// Applies an entry of a full read. Returns whether the view changed.
+    pub fn apply_listed(&mut self, change: Change, now: Millis) -> bool {
+        let number = change.number;
+        let effect = self.view.apply_listed(change, now);
+        self.reset_if_restarted(number, effect);
+        effect != UpdateEffect::Stale
+    }
+
     /// Applies published routes. Returns whether the view changed.
     pub fn apply_routes(&mut self, routes: RouteTable) -> bool {
         self.view.apply_routes(routes)
@@ -37,17 +45,22 @@
     pub fn remove_unlisted(
         &mut self,
         listed: impl Fn(TargetNumber) -> bool,
-        revision: u64,
+        revision: StoreRevision,
         now: Millis,
     ) -> Vec<TargetNumber> {
         self.view.remove_unlisted(listed, revision, now)
     }
 
     /// Records that all changes up to a revision have been applied.
-    pub fn advance(&mut self, revision: u64) {
+    pub fn advance(&mut self, revision: StoreRevision) {
         self.view.advance(revision);
     }
 
+    /// Ends the retention of entries of an earlier epoch that a complete read has decided about.
+    pub fn finish_settling(&mut self, now: Millis) {
+        self.view.finish_settling(now);
+    }
+
     /// Applies the delta of a peer with a newer view. Returns the changed targets.
     pub fn merge(&mut self, delta: Delta, now: Millis) -> Vec<TargetNumber> {
         let changed = self.view.merge(delta, now);
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -13,7 +13,7 @@
 
 use tanager_core::{FastMap, Incarnation, Millis};
 
-use crate::{Beacon, LoadReport, MemberReport};
+use crate::{Beacon, LoadReport, MemberReport, StoreRevision, ViewVersion};
 pub use loads::LoadSums;
 
 /// Interval between beacons.
@@ -60,7 +60,7 @@
     incarnation: Incarnation,
     last_seen: Millis,
     hub: bool,
-    revision: u64,
+    view: ViewVersion,
     /// When its view was last verified to be complete, on this instance's clock.
     verified: Millis,
     loads: Vec<LoadReport>,
@@ -142,7 +142,7 @@
                 incarnation: beacon.incarnation,
                 last_seen: now,
                 hub: beacon.hub,
-                revision: beacon.revision,
+                view: beacon.view(),
                 verified: now - age,
                 loads: beacon.loads.clone(),
             }),
@@ -209,14 +209,15 @@
         })
     }
 
-    /// Returns the peer with the newest view, if it is newer than `revision`.
+    /// Returns the peer with the newest view, if it is newer than one of version `than`.
     #[must_use]
-    pub fn peer_with_newer_view(&self, revision: u64, now: Millis) -> Option<SocketAddrV4> {
+    pub fn peer_with_newer_view(&self, than: ViewVersion, now: Millis) -> Option<SocketAddrV4> {
         let direct = |(address, m): (&SocketAddrV4, &Member)| {
             let direct = m.direct.as_ref()?;
             // Of equally recent views, one from the local zone costs less to read.
             let near = m.zone == self.own.zone;
-            (direct.revision > revision).then_some((direct.revision, near, *address))
+            let newer = direct.view.is_newer_than(than);
+            newer.then_some((direct.view.revision, near, *address))
         };
         let newest = self.active(now).filter_map(direct).max();
         newest.map(|(_, _, address)| address)
@@ -225,9 +226,9 @@
     /// Returns the latest time at which a peer verified a view that is not newer than `revision`. A
     /// view of `revision` was complete at that time, too.
     #[must_use]
-    pub fn last_verified(&self, revision: u64) -> Option<Millis> {
+    pub fn last_verified(&self, revision: StoreRevision) -> Option<Millis> {
         let direct = self.members.values().filter_map(|m| m.direct.as_ref());
-        let covered = direct.filter(|d| d.revision > 0 && d.revision <= revision);
+        let covered = direct.filter(|d| !d.view.revision.is_none() && d.view.revision <= revision);
         covered.map(|d| d.verified).max()
     }
 
--- a/crates/forward/src/membership/outgoing.rs
+++ b/crates/forward/src/membership/outgoing.rs
@@ -6,7 +6,7 @@
 use tanager_core::Millis;
 
 use super::{Member, Membership, Role, rank};
-use crate::{Beacon, LoadReport, MemberReport};
+use crate::{Beacon, LoadReport, MemberReport, ViewVersion};
 
 /// Members of each other zone that a beacon lists at most, so that hubs discover each other.
 const FOREIGN_MEMBER_LIMIT: usize = 2;
@@ -103,7 +103,7 @@
         &mut self,
         to: SocketAddrV4,
         role: Role,
-        (revision, view_age): (u64, Option<Duration>),
+        (view, view_age): (ViewVersion, Option<Duration>),
         own_loads: &[LoadReport],
         now: Millis,
     ) -> Beacon {
@@ -123,11 +123,13 @@
             leaving: self.leaving,
             store_reachable: self.store_reachable && !self.leaving,
             // Without a view it has nothing to propagate.
-            hub: role == Role::Hub && revision > 0,
-            revision,
+            hub: role == Role::Hub && !view.revision.is_none(),
+            revision: view.revision.number,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
             members: self.reports(now),
             loads,
+            epoch: view.revision.epoch,
+            routes: view.routes,
         }
     }
 }
--- a/crates/forward/src/route.rs
+++ b/crates/forward/src/route.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::{FastMap, ServiceName};
 
-use crate::FlowKey;
+use crate::{FlowKey, StoreRevision};
 
 /// Whether the requests of a route may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -67,7 +67,7 @@
     /// The configuration's version; higher is newer.
     pub version: u64,
     /// The revision at which it was published.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Time without packets after which a flow may be removed.
     pub idle_timeout: Duration,
     routes: Vec<Route>,
@@ -78,7 +78,12 @@
 impl RouteTable {
     /// Creates a table. If several routes have the same address, the first one applies.
     #[must_use]
-    pub fn new(version: u64, revision: u64, idle_timeout: Duration, routes: Vec<Route>) -> Self {
+    pub fn new(
+        version: u64,
+        revision: StoreRevision,
+        idle_timeout: Duration,
+        routes: Vec<Route>,
+    ) -> Self {
         let mut table = Self {
             version,
             revision,
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -110,6 +110,8 @@
     pub state: TargetState,
     /// Remaining warm-up time at the time of publication; the target is slow until then.
     pub warmup: Duration,
-    /// Its incarnation, which changes when the target restarts.
+    /// Its incarnation, which increases when the target restarts.
     pub incarnation: Incarnation,
+    /// Counts what this incarnation has published; higher is newer.
+    pub sequence: u64,
 }
--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -1,90 +1,33 @@
 //! This instance's copy of the published targets and routes, with their revisions.
 
+mod change;
+mod epochs;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tanager_core::{FastMap, FastSet, Millis};
 
-use crate::{Cookie, RouteTable, Target, TargetNumber, TargetState};
+use crate::{Cookie, RouteTable, StoreRevision, Target, TargetNumber, TargetState, ViewVersion};
+pub use change::{Change, Delta, UpdateEffect};
+use epochs::Settling;
 
 /// How long the entry of a removed target is retained. Longer than any flow lasts.
 const RETENTION: Duration = Duration::from_mins(2);
 
-/// A change of one target's published entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Change {
-    /// The target.
-    pub number: TargetNumber,
-    /// The revision at which it was published.
-    pub revision: u64,
-    /// The target. After its removal the last entry, if the sender has it, because packets of its
-    /// flows still arrive.
-    pub target: Option<Target>,
-    /// Whether the target was removed.
-    pub removed: bool,
-}
-
-impl Change {
-    /// Creates the change that publishes a target.
-    #[must_use]
-    pub const fn published(target: Target, revision: u64) -> Self {
-        Self {
-            number: target.number,
-            revision,
-            target: Some(target),
-            removed: false,
-        }
-    }
-
-    /// Creates the change that removes a target of which only the number is known.
-    #[must_use]
-    pub const fn removal(number: TargetNumber, revision: u64) -> Self {
-        Self {
-            number,
-            revision,
-            target: None,
-            removed: true,
-        }
-    }
-}
-
-/// Effect of applying a change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum UpdateEffect {
-    /// None: the view has an entry of the same or a newer revision, or the removed target is not in
-    /// the view.
-    Stale,
-    /// The view changed.
-    Changed,
-    /// The target was restarted and has lost its former state.
-    Restarted,
-}
-
-/// The difference between two revisions of the view, for a peer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Delta {
-    /// The receiver's revision after the delta is merged.
-    pub revision: u64,
-    /// Whether `changes` lists all targets, so that missing ones have been removed.
-    pub whole: bool,
-    /// Changed targets.
-    pub changes: Vec<Change>,
-    /// The routes, if they have changed.
-    pub routes: Option<RouteTable>,
-}
-
 /// A target's entry in the view.
 #[derive(Debug, Clone)]
 pub struct TargetEntry {
     /// The target as last published.
     pub target: Target,
     /// The revision of its publication or removal.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When this instance received the publication.
     pub received: Millis,
     /// When this instance received the removal.
     pub removed: Option<Millis>,
+    /// Whether it was retained from an earlier epoch of the store, which has not confirmed it since.
+    pub provisional: bool,
 }
 
 impl TargetEntry {
@@ -104,7 +47,8 @@
 /// This instance's copy of the published targets and routes.
 ///
 /// Each entry keeps the revision at which it was published and is only replaced by a newer one, so
-/// the store and peers may be read in any order without reverting a change.
+/// the store and peers may be read in any order without reverting a change. Routes have a version
+/// of their own, which only increases.
 #[derive(Debug, Default)]
 pub struct View {
     /// Invariant: a removed target is retained for [`RETENTION`], so that packets of its
@@ -113,19 +57,30 @@
     by_cookie: FastMap<Cookie, TargetNumber>,
     routes: Arc<RouteTable>,
     /// All changes up to this revision have been applied.
-    revision: u64,
+    revision: StoreRevision,
     /// Removed entries up to this revision may have been evicted.
-    evicted_revision: u64,
+    evicted_revision: StoreRevision,
+    /// When a read decides about provisional entries. Invariant: set if there is one.
+    settling: Option<Settling>,
     generation: u64,
 }
 
 impl View {
-    /// Returns the revision up to which the view is complete; 0 before the first reading.
+    /// Returns the revision up to which the view is complete.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> StoreRevision {
         self.revision
     }
 
+    /// Returns the version of the view.
+    #[must_use]
+    pub fn version(&self) -> ViewVersion {
+        ViewVersion {
+            revision: self.revision,
+            routes: self.routes.version,
+        }
+    }
+
     /// Returns a number that increases with each change of this view.
     #[must_use]
     pub const fn generation(&self) -> u64 {
@@ -163,12 +118,17 @@
         self.targets.values().filter(|e| e.removed.is_none())
     }
 
+    /// Returns the entries that were retained from an earlier epoch of the store.
+    pub fn provisional(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.targets.values().filter(|e| e.provisional)
+    }
+
     /// Returns all targets, including recently removed ones.
     pub fn all(&self) -> impl Iterator<Item = &TargetEntry> {
         self.targets.values()
     }
 
-    /// Applies a change read from the store unless the view has an entry of the same or a newer
+    /// Applies a change that the store reports unless the view has an entry of the same or a newer
     /// revision.
     pub fn apply(&mut self, change: Change, now: Millis) -> UpdateEffect {
         let entry = self.targets.get_mut(&change.number);
@@ -182,18 +142,18 @@
         let removed = change.removed.then_some(now);
         match (entry, change.target) {
             (Some(entry), Some(target)) if !change.removed => {
-                if entry.target.incarnation != target.incarnation {
-                    effect = UpdateEffect::Restarted;
-                }
+                effect = UpdateEffect::between(&entry.target, &target);
                 *entry = TargetEntry {
                     target,
                     revision: change.revision,
                     received: now,
                     removed: None,
+                    provisional: change.provisional,
                 };
             }
             (Some(entry), _) => {
                 entry.revision = change.revision;
+                entry.provisional = change.provisional;
                 entry.removed = entry.removed.or(removed);
             }
             (None, Some(target)) => {
@@ -204,11 +164,15 @@
                     revision: change.revision,
                     received: now,
                     removed,
+                    provisional: change.provisional,
                 };
                 self.targets.insert(number, entry);
             }
             (None, None) => return UpdateEffect::Stale,
         }
+        if change.provisional {
+            self.settle_later(change.revision.epoch, now);
+        }
         self.generation += 1;
         effect
     }
@@ -217,12 +181,19 @@
     /// published up to this view's revision and is missing here has been removed since. Its entry
     /// is retained as removed, because packets of its flows may still arrive.
     fn apply_from_peer(&mut self, mut change: Change, now: Millis) -> UpdateEffect {
+        if let Some(effect) = self.adopt_earlier_epoch(&change, now) {
+            return effect;
+        }
         let known = change.revision <= self.revision;
-        if known && self.targets.contains_key(&change.number) {
+        let entry = self.targets.get(&change.number);
+        if known && entry.is_some_and(|e| !e.provisional) {
             return UpdateEffect::Stale;
         }
-        change.removed |= known;
-        self.apply(change, now)
+        if known && entry.is_none() && !change.provisional {
+            change.removed = true;
+            change.revision = self.revision;
+        }
+        self.apply_listed(change, now)
     }
 
     /// Applies routes if their version is newer than the present one. Returns whether it was.
@@ -237,41 +208,67 @@
     }
 
     /// Marks every target for which `listed` returns false as removed, unless it was published
-    /// after `revision`. Returns the removed targets.
+    /// after `revision`. Those of an earlier epoch are retained until they have had time to publish
+    /// themselves again. Returns the removed targets.
     pub fn remove_unlisted(
         &mut self,
         listed: impl Fn(TargetNumber) -> bool,
-        revision: u64,
+        revision: StoreRevision,
         now: Millis,
     ) -> Vec<TargetNumber> {
+        let due = self.is_settled(revision.epoch, now);
+        let mut retained = false;
         let mut removed = Vec::new();
         for (number, entry) in &mut self.targets {
-            if entry.removed.is_none() && entry.revision <= revision && !listed(*number) {
-                entry.removed = Some(now);
-                entry.revision = revision;
-                removed.push(*number);
+            if entry.revision > revision || listed(*number) {
+                continue;
+            }
+            let earlier = entry.revision.epoch < revision.epoch;
+            if entry.removed.is_some() {
+                // A peer may have read the entry in this epoch, before the store removed it.
+                if earlier || entry.provisional {
+                    entry.revision = revision;
+                    entry.provisional = false;
+                }
+                continue;
             }
+            if earlier || (entry.provisional && !due) {
+                entry.retain_until_settled(revision);
+                retained = true;
+                continue;
+            }
+            entry.removed = Some(now);
+            entry.provisional = false;
+            entry.revision = revision;
+            removed.push(*number);
+        }
+        if retained {
+            self.settle_later(revision.epoch, now);
         }
         removed
     }
 
     /// Records that all changes up to a revision have been applied.
-    pub fn advance(&mut self, revision: u64) {
+    pub fn advance(&mut self, revision: StoreRevision) {
         self.revision = self.revision.max(revision);
     }
 
-    /// Returns the changes that a peer at revision `after` lacks.
+    /// Returns the changes that a peer with a view of version `after` lacks.
     #[must_use]
-    pub fn delta(&self, after: u64) -> Delta {
-        let whole = after < self.evicted_revision || after == 0;
-        let newer = |e: &&TargetEntry| whole || e.revision > after;
+    pub fn delta(&self, after: ViewVersion) -> Delta {
+        let revision = after.revision;
+        let whole = revision < self.evicted_revision
+            || revision.is_none()
+            || revision.epoch != self.revision.epoch;
+        let newer = |e: &&TargetEntry| whole || e.revision > revision;
         let change = |e: &TargetEntry| Change {
             number: e.target.number,
             revision: e.revision,
             target: Some(e.target.clone()),
             removed: e.removed.is_some(),
+            provisional: e.provisional,
         };
-        let changed = whole || self.routes.revision > after;
+        let changed = self.routes.version > after.routes;
         Delta {
             revision: self.revision,
             whole,
@@ -303,6 +300,9 @@
             self.apply_routes(routes);
         }
         self.advance(delta.revision);
+        if delta.whole {
+            self.finish_settling(now);
+        }
         changed
     }
 
@@ -314,7 +314,7 @@
             .values()
             .filter(|e| expired(e))
             .map(|e| e.revision);
-        self.evicted_revision = self.evicted_revision.max(evicted.max().unwrap_or(0));
+        self.evicted_revision = self.evicted_revision.max(evicted.max().unwrap_or_default());
         self.targets.retain(|_, e| !expired(e));
         let targets = &self.targets;
         self.by_cookie.retain(|_, n| targets.contains_key(n));
--- a/crates/forward/tests/cold_start.rs
+++ b/crates/forward/tests/cold_start.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{FEED_PORT, REVISION, at, forwarder, open_flow, removed, routes, sent_to, zone};
-use tanager_forward::{Action, Forwarder, TargetNumber};
+use common::{FEED_PORT, at, forwarder, later, open_flow, removed, routes, sent_to, zone};
+use tanager_forward::{Action, Forwarder, TargetNumber, ViewVersion};
 
 /// Guards against dropping packets that arrive between the start and the first read. Clients
 /// retransmit them up to 1.6 s later; this affected 66 to 77 packets after the last fault.
@@ -16,7 +16,7 @@
 
     let first = feed.send(&mut started, 100, at(1_000));
     let opening = common::Client::new(2, FEED_PORT).opening(&mut started, 0, at(1_000));
-    started.merge(before.view().delta(0), at(1_050));
+    started.merge(before.view().delta(ViewVersion::default()), at(1_050));
     let due = started.take_due(at(1_050));
 
     assert_eq!((first, opening), (Action::Wait, Action::Wait));
@@ -46,13 +46,13 @@
 #[test]
 fn a_peer_sends_recently_removed_targets() {
     let mut peer = forwarder(2);
-    peer.apply(removed(2, REVISION + 1), at(500));
+    peer.apply(removed(2, later(1)), at(500));
     let mut started = Forwarder::new(zone("a"), 1);
     started.apply_routes(routes(1));
     let mut feed = common::Client::new(1, FEED_PORT);
     feed.accept(TargetNumber::new(2));
 
-    started.merge(peer.view().delta(0), at(1_000));
+    started.merge(peer.view().delta(ViewVersion::default()), at(1_000));
     let action = feed.send(&mut started, 100, at(1_010));
 
     assert_eq!(sent_to(action), TargetNumber::new(2));
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -7,17 +7,22 @@
 
 use tanager_core::{Clock, Incarnation, Millis, ServiceName, ZoneName};
 use tanager_forward::{
-    Action, Change, Cookie, FlowKey, Forwarder, Kind, Route, RouteTable, Segment, SegmentKind,
-    ServiceShare, Target, TargetNumber, TargetState,
+    Action, Change, Cookie, Epoch, FlowKey, Forwarder, Kind, Route, RouteTable, Segment,
+    SegmentKind, ServiceShare, StoreRevision, Target, TargetNumber, TargetState,
 };
 
 /// The revision at which fixtures are published.
-pub const REVISION: u64 = 10;
+pub const REVISION: StoreRevision = StoreRevision::new(Epoch::new(1), 10);
 /// The port of the route whose requests may be repeated.
 pub const FEED_PORT: u16 = 443;
 /// The port of the route whose requests must not be repeated.
 pub const ORDER_PORT: u16 = 444;
 
+/// Returns the revision after this many changes since [`REVISION`].
+pub fn later(changes: u64) -> StoreRevision {
+    StoreRevision::new(REVISION.epoch, REVISION.number + changes)
+}
+
 pub fn at(millis: u64) -> Millis {
     Clock::START + Duration::from_millis(millis)
 }
@@ -41,14 +46,15 @@
         state: TargetState::Ready,
         warmup: Duration::ZERO,
         incarnation: Incarnation::new(1),
+        sequence: 1,
     }
 }
 
-pub fn published(target: Target, revision: u64) -> Change {
+pub fn published(target: Target, revision: StoreRevision) -> Change {
     Change::published(target, revision)
 }
 
-pub fn removed(number: u64, revision: u64) -> Change {
+pub fn removed(number: u64, revision: StoreRevision) -> Change {
     Change::removal(TargetNumber::new(number), revision)
 }
 
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -8,7 +8,10 @@
 
 use common::at;
 use tanager_core::{Incarnation, Millis};
-use tanager_forward::{Cookie, LoadReport, Membership, OwnInstance, Role, Tally, TargetLoad};
+use tanager_forward::{
+    Cookie, Epoch, LoadReport, Membership, OwnInstance, Role, StoreRevision, Tally, TargetLoad,
+    ViewVersion,
+};
 
 /// Largest UDP payload in bytes that fits into an Ethernet frame of 1,500 bytes.
 const UDP_PAYLOAD: usize = 1_472;
@@ -19,6 +22,14 @@
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host), 7_720)
 }
 
+/// Returns the version of a view with the first routes.
+fn view(number: u64) -> ViewVersion {
+    ViewVersion {
+        revision: StoreRevision::new(Epoch::new(1), number),
+        routes: 1,
+    }
+}
+
 fn member(host: u8, zone: u8, capacity: u16) -> Membership {
     let own = OwnInstance {
         address: address(host),
@@ -37,7 +48,7 @@
     now: Millis,
 ) {
     let role = from.role(RECENT, now);
-    let beacon = from.beacon(address(to_host), role, (7, RECENT), loads, now);
+    let beacon = from.beacon(address(to_host), role, (view(7), RECENT), loads, now);
     to.apply_beacon(&beacon, now);
 }
 
@@ -197,12 +208,21 @@
 fn a_peer_without_a_view_verifies_nothing() {
     let mut started = member(1, 0, 500);
     let mut other = member(2, 0, 38);
-    let beacon = started.beacon(address(2), Role::Hub, (0, None), &[], at(0));
+    let beacon = started.beacon(
+        address(2),
+        Role::Hub,
+        (ViewVersion::default(), None),
+        &[],
+        at(0),
+    );
 
     other.apply_beacon(&beacon, at(10));
 
-    assert_eq!(other.last_verified(5), None);
-    assert_eq!(other.peer_with_newer_view(0, at(10)), None);
+    assert_eq!(other.last_verified(view(5).revision), None);
+    assert_eq!(
+        other.peer_with_newer_view(ViewVersion::default(), at(10)),
+        None
+    );
 }
 
 /// Guards against beacons that are fragmented by the network, where the loss of one fragment loses
@@ -225,8 +245,57 @@
     };
     let loads: Vec<_> = (0..200).map(|n| report(u32::MAX - n, busy)).collect();
 
-    let beacon = hub.beacon(address(2), Role::Hub, (1 << 40, RECENT), &loads, at(0));
+    let beacon = hub.beacon(
+        address(2),
+        Role::Hub,
+        (view(1 << 40), RECENT),
+        &loads,
+        at(0),
+    );
 
     let bytes = postcard::to_stdvec(&beacon).expect("a beacon");
     assert!(bytes.len() <= UDP_PAYLOAD, "{} bytes", bytes.len());
 }
+
+/// Guards against going back to the history that a restored store has left: its numbers are higher
+/// than those of the new one.
+#[test]
+fn a_view_of_a_later_epoch_is_newer_whatever_its_number() {
+    let mut receiver = member(1, 0, 500);
+    let restored = ViewVersion {
+        revision: StoreRevision::new(Epoch::new(2), 22),
+        routes: 1,
+    };
+    for (host, version) in [(2, view(23)), (3, restored)] {
+        let mut peer = member(host, 0, 100);
+        let beacon = peer.beacon(address(1), Role::Leaf, (version, RECENT), &[], at(0));
+        receiver.apply_beacon(&beacon, at(0));
+    }
+
+    let from_old = receiver.peer_with_newer_view(view(22), at(10));
+    let from_new = receiver.peer_with_newer_view(restored, at(10));
+
+    assert_eq!(from_old, Some(address(3)));
+    assert_eq!(from_new, None);
+}
+
+/// Guards against old routes after a start: a restored store has old ones until the operator writes
+/// the newest again, while a peer with a view of the same revision has the newest.
+#[test]
+fn a_view_with_newer_routes_is_newer_at_the_same_revision() {
+    let mut receiver = member(1, 0, 500);
+    let mut peer = member(2, 0, 100);
+    let newer = ViewVersion {
+        routes: 2,
+        ..view(7)
+    };
+    let beacon = peer.beacon(address(1), Role::Leaf, (newer, RECENT), &[], at(0));
+
+    receiver.apply_beacon(&beacon, at(0));
+
+    assert_eq!(
+        receiver.peer_with_newer_view(view(7), at(10)),
+        Some(address(2))
+    );
+    assert_eq!(receiver.peer_with_newer_view(newer, at(10)), None);
+}
--- a/crates/forward/tests/release.rs
+++ b/crates/forward/tests/release.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use common::{FEED_PORT, ORDER_PORT, REVISION, at, forwarder, open_flow, published, target};
+use common::{FEED_PORT, ORDER_PORT, at, forwarder, later, open_flow, published, target};
 use tanager_core::FastMap;
 use tanager_forward::{Forwarder, TargetLoad, TargetNumber};
 
@@ -25,7 +25,7 @@
     }
     let mut cold = target(NEW.get(), "feeds", "a");
     cold.warmup = Duration::from_secs(2);
-    forwarder.apply(published(cold, REVISION + 1), at(1_000));
+    forwarder.apply(published(cold, later(1)), at(1_000));
     forwarder
 }
 
--- a/crates/forward/tests/silent_fleet_wide.rs
+++ b/crates/forward/tests/silent_fleet_wide.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Client, FEED_PORT, ORDER_PORT, REVISION, at, forwarder, open_flow, sent_to, target};
+use common::{Client, FEED_PORT, ORDER_PORT, at, forwarder, later, open_flow, sent_to, target};
 use tanager_core::Incarnation;
 use tanager_forward::{Action, Delta, Event, Forwarder, Tally, TargetLoad, TargetNumber};
 
@@ -162,9 +162,9 @@
     let mut restarted = target(unresponsive.get(), "feeds", "a");
     restarted.incarnation = Incarnation::new(2);
     let delta = Delta {
-        revision: REVISION + 1,
+        revision: later(1),
         whole: false,
-        changes: vec![common::published(restarted, REVISION + 1)],
+        changes: vec![common::published(restarted, later(1))],
         routes: None,
     };
 
--- a/crates/forward/tests/vanished_target.rs
+++ b/crates/forward/tests/vanished_target.rs
@@ -3,9 +3,7 @@
 
 mod common;
 
-use common::{
-    Client, FEED_PORT, ORDER_PORT, REVISION, at, forwarder, open_flow, published, removed,
-};
+use common::{Client, FEED_PORT, ORDER_PORT, at, forwarder, later, open_flow, published, removed};
 use common::{sent_to, target};
 use tanager_core::Incarnation;
 use tanager_forward::{Action, Delta, DueAction, Event, Forwarder, ResetReason, TargetNumber};
@@ -153,7 +151,7 @@
     two.resend(&mut forwarder, 100, at(310));
 
     let listed = order.resend(&mut forwarder, 100, at(600));
-    forwarder.apply(removed(1, REVISION + 1), at(650));
+    forwarder.apply(removed(1, later(1)), at(650));
     let after_removal = order.resend(&mut forwarder, 100, at(700));
 
     assert_eq!(sent_to(listed), TargetNumber::new(1));
@@ -211,9 +209,9 @@
     let mut restarted = target(number.get(), "feeds", "a");
     restarted.incarnation = Incarnation::new(2);
     let delta = Delta {
-        revision: REVISION + 1,
+        revision: later(1),
         whole: false,
-        changes: vec![published(restarted, REVISION + 1)],
+        changes: vec![published(restarted, later(1))],
         routes: None,
     };
 
@@ -257,8 +255,8 @@
     let mut feed = open_flow(&mut forwarder, 1, FEED_PORT, at(0));
     let mut leaving = target(1, "feeds", "a");
     leaving.state = tanager_forward::TargetState::Draining;
-    forwarder.apply(published(leaving, REVISION + 1), at(1_000));
-    forwarder.apply(removed(1, REVISION + 2), at(5_000));
+    forwarder.apply(published(leaving, later(1)), at(1_000));
+    forwarder.apply(removed(1, later(2)), at(5_000));
 
     let action = feed.send(&mut forwarder, 100, at(6_000));
 
--- a/crates/forward/tests/view_order.rs
+++ b/crates/forward/tests/view_order.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use common::{REVISION, at, published, removed, routes, target};
+use common::{REVISION, at, later, published, removed, routes, target};
 use proptest::prelude::*;
 use tanager_core::Incarnation;
-use tanager_forward::{Change, RouteTable, TargetNumber, TargetState, View};
+use tanager_forward::{Change, RouteTable, TargetNumber, TargetState, View, ViewVersion};
 
 /// The history of one target: published, drained, removed, started again.
 fn history() -> Vec<Change> {
@@ -17,11 +17,11 @@
     restarted.incarnation = Incarnation::new(2);
     vec![
         published(target(1, "feeds", "a"), REVISION),
-        published(drained, REVISION + 1),
-        removed(1, REVISION + 2),
-        published(restarted, REVISION + 3),
-        published(target(2, "feeds", "b"), REVISION + 4),
-        removed(2, REVISION + 5),
+        published(drained, later(1)),
+        removed(1, later(2)),
+        published(restarted, later(3)),
+        published(target(2, "feeds", "b"), later(4)),
+        removed(2, later(5)),
     ]
 }
 
@@ -67,9 +67,9 @@
 fn a_read_removes_only_targets_published_before_it() {
     let mut view = View::default();
     view.apply(published(target(1, "feeds", "a"), REVISION), at(0));
-    view.apply(published(target(2, "feeds", "a"), REVISION + 9), at(0));
+    view.apply(published(target(2, "feeds", "a"), later(9)), at(0));
 
-    let removed = view.remove_unlisted(|_| false, REVISION + 1, at(10));
+    let removed = view.remove_unlisted(|_| false, later(1), at(10));
 
     assert_eq!(removed, vec![TargetNumber::new(1)]);
     assert_eq!(numbers(&view), vec![2]);
@@ -83,16 +83,16 @@
     sender.apply_routes(RouteTable::new(1, REVISION, Duration::ZERO, Vec::new()));
     sender.advance(REVISION);
     let mut receiver = View::default();
-    receiver.merge(sender.delta(0), at(0));
-    sender.apply(removed(1, REVISION + 1), at(5));
-    sender.apply(published(target(2, "feeds", "a"), REVISION + 2), at(5));
+    receiver.merge(sender.delta(ViewVersion::default()), at(0));
+    sender.apply(removed(1, later(1)), at(5));
+    sender.apply(published(target(2, "feeds", "a"), later(2)), at(5));
     sender.apply_routes(routes(2));
-    sender.advance(REVISION + 2);
+    sender.advance(later(2));
 
-    receiver.merge(sender.delta(receiver.revision()), at(10));
+    receiver.merge(sender.delta(receiver.version()), at(10));
 
     assert_eq!(numbers(&receiver), vec![2]);
-    assert_eq!(receiver.revision(), REVISION + 2);
+    assert_eq!(receiver.revision(), later(2));
 }
 
 /// Guards against retaining removed targets forever.
@@ -100,8 +100,8 @@
 fn removed_targets_are_evicted() {
     let mut view = View::default();
     view.apply(published(target(1, "feeds", "a"), REVISION), at(0));
-    view.apply(removed(1, REVISION + 1), at(0));
-    view.advance(REVISION + 1);
+    view.apply(removed(1, later(1)), at(0));
+    view.advance(later(1));
 
     view.expire(at(60_000));
     let retained = view.all().count();
@@ -110,7 +110,11 @@
     assert_eq!(retained, 1);
     assert_eq!(view.all().count(), 0);
     assert!(
-        view.delta(REVISION).whole,
+        view.delta(ViewVersion {
+            revision: REVISION,
+            routes: 0
+        })
+        .whole,
         "a partial delta would omit the removal"
     );
 }
--- a/crates/forward/tests/view_sources.rs
+++ b/crates/forward/tests/view_sources.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use common::{REVISION, at, published, target};
+use common::{REVISION, at, later, published, target};
 use proptest::prelude::*;
 use tanager_core::{Incarnation, Millis};
-use tanager_forward::{Change, Target, TargetNumber, View};
+use tanager_forward::{Change, StoreRevision, Target, TargetNumber, View, ViewVersion};
 
 /// Targets of a history.
 const TARGETS: u64 = 4;
@@ -57,14 +57,14 @@
 struct History(Vec<Operation>);
 
 impl History {
-    const fn revision(position: usize) -> u64 {
-        REVISION + position as u64
+    fn revision(position: usize) -> StoreRevision {
+        later(position as u64)
     }
 
     fn change(&self, index: usize) -> Change {
         let revision = Self::revision(index + 1);
         match self.0[index] {
-            Operation::Publish(number) => published(incarnation(number, revision), revision),
+            Operation::Publish(number) => published(incarnation(number, revision.number), revision),
             Operation::Remove(number) => Change::removal(TargetNumber::new(number), revision),
         }
     }
@@ -115,12 +115,12 @@
 
 impl Reader {
     fn perform(&mut self, step: &Step) {
-        let after = self.view.revision();
+        let known = !self.view.revision().is_none();
         match *step {
-            Step::MergeWhole(position) => self.merge(position, 0),
-            Step::MergeDelta(position) if after > 0 => self.merge(position, after),
+            Step::MergeWhole(position) => self.merge(position, ViewVersion::default()),
+            Step::MergeDelta(position) if known => self.merge(position, self.view.version()),
             Step::ReadPages { first, peer, last } => self.read_pages(first, peer, last),
-            Step::Watch(position) if after > 0 => {
+            Step::Watch(position) if known => {
                 self.history.watch(&mut self.view, position, self.now);
             }
             Step::MergeDelta(_) | Step::Watch(_) => {}
@@ -131,7 +131,7 @@
         }
     }
 
-    fn merge(&mut self, position: usize, after: u64) {
+    fn merge(&mut self, position: usize, after: ViewVersion) {
         let delta = self.history.peer(position).delta(after);
         self.view.merge(delta, self.now);
     }
@@ -142,7 +142,7 @@
         let first = first.max(self.position());
         let mut listed = self.read_page(1..=FIRST_PAGE_END, first);
         if let Some(position) = peer {
-            self.merge(position, 0);
+            self.merge(position, ViewVersion::default());
         }
         let last = last.max(first).max(self.position());
         listed.extend(self.read_page(FIRST_PAGE_END + 1..=TARGETS, last));
@@ -163,7 +163,7 @@
             .collect();
         let listed = entries.iter().map(|e| e.number).collect();
         for entry in entries {
-            self.view.apply(entry, self.now);
+            self.view.apply_listed(entry, self.now);
         }
         listed
     }
@@ -176,13 +176,13 @@
 
     /// Returns the position up to which the view is complete.
     fn position(&self) -> usize {
-        let position = self.view.revision().saturating_sub(REVISION);
+        let position = self.view.revision().number.saturating_sub(REVISION.number);
         usize::try_from(position).expect("a small number")
     }
 
     /// Returns the targets whose state is older than the revision to which the view is complete.
     fn stale(&self) -> Vec<u64> {
-        if self.view.revision() == 0 {
+        if self.view.revision().is_none() {
             return Vec::new();
         }
         let is_stale = |number: &u64| {
@@ -254,7 +254,7 @@
     let mut view = View::default();
     view.advance(History::revision(2));
 
-    view.merge(history.peer(1).delta(0), at(0));
+    view.merge(history.peer(1).delta(ViewVersion::default()), at(0));
 
     let entry = view.get(TargetNumber::new(1)).expect("an entry");
     assert!(entry.removed.is_some());
--- a/crates/forwarder/src/error.rs
+++ b/crates/forwarder/src/error.rs
@@ -1,9 +1,11 @@
 //! Errors of an instance.
 
+use std::cmp::Ordering;
 use std::fmt::Display;
 use std::net::SocketAddrV4;
 
 use tanager_core::ResultCode;
+use tanager_forward::{Epoch, StoreRevision};
 
 /// The result of an operation of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -29,7 +31,15 @@
     },
     /// The store has discarded the changes after the requested revision.
     #[error("the store no longer has the changes after revision {0}")]
-    HistoryGone(u64),
+    HistoryGone(StoreRevision),
+    /// The store was restored from an older copy and continues with another history.
+    #[error("the store was restored: epoch {received} follows {expected}")]
+    HistoryReplaced {
+        /// The epoch of what was read before.
+        expected: Epoch,
+        /// The epoch of the answer.
+        received: Epoch,
+    },
     /// An answer of the store or a peer cannot be decoded.
     #[error("cannot decode the answer: {0}")]
     Answer(String),
@@ -65,6 +75,23 @@
         Self::Foreign(detail.to_string())
     }
 
+    /// Checks the epoch of an answer against that of what was read before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::HistoryReplaced`] if the store was restored since, and [`Error::Foreign`] if
+    /// the answer is older.
+    pub fn check_epoch(expected: Epoch, received: Epoch) -> Result<()> {
+        match received.cmp(&expected) {
+            Ordering::Equal => Ok(()),
+            Ordering::Greater => Err(Self::HistoryReplaced { expected, received }),
+            Ordering::Less => {
+                let detail = format!("epoch {received} is older than {expected}");
+                Err(Self::foreign(detail))
+            }
+        }
+    }
+
     /// Creates an [`Error::Unreachable`].
     #[must_use]
     pub fn unreachable(address: SocketAddrV4, detail: impl Display) -> Self {
--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -79,7 +79,13 @@
 
     /// Returns whether neither the store nor a peer has supplied a view yet.
     pub fn is_searching(&self) -> bool {
-        self.forwarder.borrow().view().revision() == 0
+        self.forwarder.borrow().view().revision().is_none()
+    }
+
+    /// Returns whether a full read or a peer's whole view has to confirm entries that were retained
+    /// from an earlier epoch of the store.
+    pub fn is_settle_due(&self) -> bool {
+        self.forwarder.borrow().view().is_settle_due(self.now())
     }
 
     /// Returns whether the store answered the last call.
--- a/crates/forwarder/src/pages.rs
+++ b/crates/forwarder/src/pages.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
 use slog::warn;
+use tanager_forward::ViewVersion;
 use tanagerproxy::accept::Acceptor;
 use tanagerproxy::http::{self, Page, text};
 use tokio::net::TcpListener;
@@ -76,8 +77,11 @@
 }
 
 fn view(query: &str, instance: &Instance) -> Page {
-    let Some(after) = query.strip_prefix("after=").and_then(|n| n.parse().ok()) else {
-        return text(StatusCode::BAD_REQUEST, "expected after=REVISION\n");
+    let Some(after) = parse_version(query) else {
+        return text(
+            StatusCode::BAD_REQUEST,
+            "expected after=EPOCH:NUMBER&routes=VERSION\n",
+        );
     };
     let delta = instance.forwarder.borrow().view().delta(after);
     match postcard::to_stdvec(&delta) {
@@ -88,3 +92,12 @@
         }
     }
 }
+
+/// Parses the version of a peer's view in the query of a request.
+fn parse_version(query: &str) -> Option<ViewVersion> {
+    let (revision, routes) = query.strip_prefix("after=")?.split_once("&routes=")?;
+    Some(ViewVersion {
+        revision: revision.parse().ok()?,
+        routes: routes.parse().ok()?,
+    })
+}
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -6,7 +6,7 @@
 
 use hyper::StatusCode;
 use slog::{info, warn};
-use tanager_forward::{BEACON_INTERVAL, Beacon, Delta, Role};
+use tanager_forward::{BEACON_INTERVAL, Beacon, Delta, Role, ViewVersion};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -33,6 +33,9 @@
         send_beacons(&socket, &instance);
         instance.forwarder.borrow_mut().sweep(instance.now());
         instance.membership.borrow_mut().expire(instance.now());
+        if instance.is_settle_due() {
+            instance.pull_requested.notify_one();
+        }
         instance.report();
         instance.reporter.log_suppressed_lines();
         instance.update_gauges();
@@ -89,7 +92,7 @@
     let now = instance.now();
     let (view, loads) = {
         let mut forwarder = instance.forwarder.borrow_mut();
-        let view = (forwarder.view().revision(), forwarder.view_age(now));
+        let view = (forwarder.view().version(), forwarder.view_age(now));
         (view, forwarder.load_report(now))
     };
     let mut membership = instance.membership.borrow_mut();
@@ -127,14 +130,14 @@
         let mut membership = instance.membership.borrow_mut();
         let is_new = membership.is_new_incarnation(&beacon);
         membership.apply_beacon(&beacon, now);
-        let revision = instance.forwarder.borrow().view().revision();
-        let newer = is_new || membership.peer_with_newer_view(revision, now).is_some();
+        let view = instance.forwarder.borrow().view().version();
+        let newer = is_new || membership.peer_with_newer_view(view, now).is_some();
         (is_new, newer)
     };
     if is_new && !beacon.leaving {
         info!(instance.reporter.log, "[membership] instance heard";
             "instance" => %beacon.from, "incarnation" => %beacon.incarnation,
-            "hub" => beacon.hub, "revision" => beacon.revision);
+            "hub" => beacon.hub, "revision" => %beacon.view().revision);
         send_beacon(socket, instance, &[beacon.from], role);
     }
     if role == Role::Leaf && beacon.hub {
@@ -167,10 +170,12 @@
     let mut first = true;
     loop {
         instance.pull_requested.notified().await;
-        let revision = instance.forwarder.borrow().view().revision();
-        let reads_store =
-            instance.role() == Role::Hub && revision > 0 && instance.is_store_reachable();
-        let after = if first { 0 } else { revision };
+        let view = instance.forwarder.borrow().view().version();
+        let reads_store = instance.role() == Role::Hub
+            && !view.revision.is_none()
+            && instance.is_store_reachable();
+        let whole = first || instance.is_settle_due();
+        let after = if whole { ViewVersion::default() } else { view };
         let peer = instance
             .membership
             .borrow()
@@ -186,9 +191,9 @@
     }
 }
 
-async fn pull_view(instance: &Instance, peer: SocketAddrV4, revision: u64) -> Result<()> {
+async fn pull_view(instance: &Instance, peer: SocketAddrV4, after: ViewVersion) -> Result<()> {
     let address = SocketAddrV4::new(*peer.ip(), instance.settings.views.port());
-    let path = format!("/view?after={revision}");
+    let path = view_path(after);
     let mut client = HttpClient::new(address);
     let answer = client.get(&path, PULL_TIMEOUT).await?;
     if answer.status != StatusCode::OK {
@@ -203,7 +208,12 @@
     instance.view_changed.notify_one();
     let view = forwarder.view();
     info!(instance.reporter.log, "[peer] view read"; "peer" => %peer,
-        "revision" => view.revision(), "before" => revision, "changed" => changed.len(),
+        "revision" => %view.revision(), "before" => %after.revision, "changed" => changed.len(),
         "config" => view.routes().version);
     Ok(())
 }
+
+/// Returns the path of the page with what a peer has after a version of the view.
+fn view_path(after: ViewVersion) -> String {
+    format!("/view?after={}&routes={}", after.revision, after.routes)
+}
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -8,15 +8,15 @@
 
 use rand::RngExt as _;
 use slog::{info, warn};
-use tanager_forward::{Epoch, Role};
+use tanager_forward::{Role, StoreRevision};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::instance::Instance;
-use crate::source::Source;
+use crate::source::{Page, Source};
 use crate::{Error, Result};
 use full_read::FullRead;
-use publications::{Detail, apply_publications};
+use publications::{Origin, apply_publications};
 
 /// Time for which a watch waits for a change. It bounds the time until an unresponsive connection
 /// is detected.
@@ -62,8 +62,6 @@
     full_read: Option<FullRead>,
     /// Number of consecutive failed calls.
     failures: u32,
-    /// The epoch of the last answer.
-    epoch: Option<Epoch>,
 }
 
 impl<S: Source + 'static> Reader<S> {
@@ -74,7 +72,6 @@
             full_read_needed: false,
             full_read: None,
             failures: 0,
-            epoch: None,
             instance,
         }
     }
@@ -99,19 +96,20 @@
         true
     }
 
-    /// Reads the changes since the view's revision, or everything if there is no view or the store
-    /// no longer has these changes. Returns whether anything changed.
+    /// Reads the changes since the view's revision, or everything if there is no view, the store no
+    /// longer has these changes, or entries of an earlier epoch have to be confirmed. Returns
+    /// whether anything changed.
     pub async fn read(&mut self) -> Result<bool> {
-        let revision = self.instance.forwarder.borrow().view().revision();
-        if self.full_read_needed || revision == 0 {
+        let revision = self.revision();
+        let unsettled = self.instance.is_settle_due();
+        if self.full_read_needed || revision.is_none() || unsettled {
             return self.read_all().await;
         }
         self.discard_full_read();
         let started = self.instance.now();
         let batch = self.store.watch(revision, WATCH_WAIT).await?;
-        self.record_epoch(batch.epoch, batch.revision);
         let changed = !batch.items.is_empty();
-        apply_publications(&self.instance, batch.items, Detail::Each);
+        apply_publications(&self.instance, batch.items, Origin::Watch);
         let mut forwarder = self.instance.forwarder.borrow_mut();
         forwarder.advance(batch.revision);
         // Without changes, the store answers at the end of the wait; the view was complete then.
@@ -146,13 +144,13 @@
     async fn read_targets(&mut self) -> Result<bool> {
         while self.full_read.as_ref().is_some_and(|p| !p.targets_done) {
             let page = self.store.read_page().await?;
-            self.record_epoch(page.batch.epoch, page.batch.revision);
+            self.check_page(&page)?;
             let pages = self.full_read.as_mut().map_or(0, |full_read| {
                 full_read.add(&page);
                 full_read.pages
             });
             let more = page.more;
-            apply_publications(&self.instance, page.batch.items, Detail::Summary);
+            apply_publications(&self.instance, page.batch.items, Origin::FullRead);
             self.instance.view_changed.notify_one();
             if more && pages >= PAGES_BEFORE_WAIT && self.wait_for_peer_view().await {
                 return Ok(false);
@@ -161,6 +159,20 @@
         Ok(true)
     }
 
+    /// Checks that a page belongs to the same history as the pages before it, and to none that the
+    /// view has already left. Discards the full read otherwise.
+    fn check_page(&mut self, page: &Page) -> Result<()> {
+        let view = self.revision().epoch;
+        let first = self.full_read.as_ref().and_then(|p| p.revision);
+        let received = page.batch.revision.epoch;
+        let expected = first.map_or(view.max(received), |r| r.epoch.max(view));
+        Error::check_epoch(expected, received).inspect_err(|_| self.discard_full_read())
+    }
+
+    fn revision(&self) -> StoreRevision {
+        self.instance.forwarder.borrow().view().revision()
+    }
+
     /// Applies the routes and completes the full read. Routes are applied after all targets, since
     /// new flows are reset while their route has no targets.
     async fn read_routes(&mut self) -> Result<()> {
@@ -168,8 +180,13 @@
             return Ok(());
         };
         let routes = task.await.map_err(Error::answer)??;
+        let targets = self.full_read.as_ref().and_then(|p| p.revision);
+        if let Some(revision) = targets {
+            Error::check_epoch(revision.epoch, routes.revision.epoch)
+                .inspect_err(|_| self.discard_full_read())?;
+        }
         let items = routes.items.len();
-        apply_publications(&self.instance, routes.items, Detail::Summary);
+        apply_publications(&self.instance, routes.items, Origin::FullRead);
         if let Some(full_read) = self.full_read.take() {
             self.finish_full_read(&full_read, routes.revision, items);
         }
@@ -189,7 +206,7 @@
     fn finish_full_read(
         &mut self,
         full_read: &FullRead,
-        routes_revision: u64,
+        routes_revision: StoreRevision,
         routes_count: usize,
     ) {
         let revision = full_read
@@ -197,10 +214,16 @@
             .map_or(routes_revision, |r| r.min(routes_revision));
         let now = self.instance.now();
         let mut forwarder = self.instance.forwarder.borrow_mut();
+        let before = forwarder.view().revision();
         let removed = forwarder.remove_unlisted(|n| full_read.listed.contains(&n), revision, now);
         forwarder.advance(revision);
+        forwarder.finish_settling(now);
+        if !before.is_none() && before.epoch < revision.epoch {
+            warn!(self.instance.reporter.log, "[store] restored"; "revision" => %revision,
+                "before" => %before, "provisional" => forwarder.view().provisional().count());
+        }
         forwarder.record_verified(full_read.started);
-        info!(self.instance.reporter.log, "[store] read"; "epoch" => self.epoch.map(Epoch::get), "revision" => revision,
+        info!(self.instance.reporter.log, "[store] read"; "revision" => %revision,
             "items" => full_read.items + routes_count, "gone" => removed.len(),
             "config" => forwarder.view().routes().version);
         self.full_read_needed = false;
@@ -213,8 +236,11 @@
     async fn wait_for_peer_view(&self) -> bool {
         let end = self.instance.now() + PEER_VIEW_TIMEOUT;
         while self.instance.now() < end {
-            if self.instance.forwarder.borrow().view().revision() > 0 {
-                return !self.full_read_needed;
+            let epoch = self.full_read.as_ref().and_then(|p| p.revision);
+            let epoch = epoch.map(|r| r.epoch);
+            let revision = self.revision();
+            if !revision.is_none() && epoch.is_none_or(|epoch| epoch <= revision.epoch) {
+                return !self.full_read_needed && !self.instance.is_settle_due();
             }
             let now = self.instance.now();
             if !self.instance.membership.borrow().is_outranked(now) {
@@ -225,15 +251,6 @@
         false
     }
 
-    /// Logs a change of the store's epoch.
-    fn record_epoch(&mut self, epoch: Epoch, revision: u64) {
-        let before = self.epoch.replace(epoch);
-        if before.is_some_and(|before| before != epoch) {
-            warn!(self.instance.reporter.log, "[store] restored"; "epoch" => %epoch,
-                "before" => before.map(Epoch::get), "revision" => revision);
-        }
-    }
-
     /// Records the outcome of a call and pauses until the next one is due.
     async fn handle_outcome(&mut self, outcome: Result<bool>) {
         let calls = self.store.take_calls();
@@ -241,8 +258,7 @@
         reporter.counters.store_calls.add(calls);
         match outcome {
             Ok(changed) => {
-                let revision = self.instance.forwarder.borrow().view().revision();
-                reporter.log_store_outcome(Ok(revision));
+                reporter.log_store_outcome(Ok(self.revision()));
                 self.failures = 0;
                 self.instance.set_store_reachable(true);
                 if changed {
@@ -251,8 +267,9 @@
                     sleep(CHANGE_PAUSE).await;
                 }
             }
-            Err(Error::HistoryGone(revision)) => {
-                info!(reporter.log, "[store] history gone"; "revision" => revision);
+            Err(error @ (Error::HistoryGone(_) | Error::HistoryReplaced { .. })) => {
+                info!(reporter.log, "[store] history gone"; "error" => %error,
+                    "revision" => %self.revision());
                 self.full_read_needed = true;
                 self.discard_full_read();
             }
--- a/crates/forwarder/src/reader/full_read.rs
+++ b/crates/forwarder/src/reader/full_read.rs
@@ -1,7 +1,7 @@
 //! State of a full read of the store, which takes several calls.
 
 use tanager_core::{FastSet, Millis};
-use tanager_forward::TargetNumber;
+use tanager_forward::{StoreRevision, TargetNumber};
 use tokio::task::JoinHandle;
 
 use super::publications::target_of;
@@ -13,7 +13,7 @@
     /// When its first calls were made.
     pub started: Millis,
     /// The revision of the first page of targets.
-    pub revision: Option<u64>,
+    pub revision: Option<StoreRevision>,
     /// Number of pages of targets read so far.
     pub pages: u32,
     /// Number of targets and unusable entries read so far.
--- a/crates/forwarder/src/reader/publications.rs
+++ b/crates/forwarder/src/reader/publications.rs
@@ -6,21 +6,22 @@
 use crate::instance::Instance;
 use crate::source::Publication;
 
-/// How changes of targets are logged.
+/// How publications were read.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Detail {
-    /// One line for each change.
-    Each,
-    /// No lines; the caller logs the number of changes. At startup there is a change for each target
-    /// of the fleet, and logging them would delay forwarding on small instances by half a second.
-    Summary,
+pub enum Origin {
+    /// The store reported them as changes. Each one is logged.
+    Watch,
+    /// The store listed them. The caller logs their number: at startup there is a change for each
+    /// target of the fleet, and logging them would delay forwarding on small instances by half a
+    /// second.
+    FullRead,
 }
 
 /// Applies publications to the view and logs the changes.
-pub fn apply_publications(instance: &Instance, items: Vec<Publication>, detail: Detail) {
+pub fn apply_publications(instance: &Instance, items: Vec<Publication>, origin: Origin) {
     for item in items {
         match item {
-            Publication::Target(change) => apply_target(instance, change, detail),
+            Publication::Target(change) => apply_target(instance, change, origin),
             Publication::Routes(routes) => apply_routes(instance, routes),
             Publication::Unusable {
                 key,
@@ -30,10 +31,10 @@
             } => {
                 instance.reporter.counters.entries_skipped.increment();
                 warn!(instance.reporter.log, "[store] entry skipped"; "key" => key,
-                        "revision" => revision, "error" => reason);
+                        "revision" => %revision, "error" => reason);
                 // Without a usable entry, the target no longer counts as published.
                 if let Some(number) = target {
-                    apply_target(instance, Change::removal(number, revision), detail);
+                    apply_target(instance, Change::removal(number, revision), origin);
                 }
             }
         }
@@ -44,21 +45,25 @@
     let (version, count, revision) = (routes.version, routes.len(), routes.revision);
     if instance.forwarder.borrow_mut().apply_routes(routes) {
         info!(instance.reporter.log, "[catalogue] routes in force"; "config" => version,
-                "routes" => count, "revision" => revision);
+                "routes" => count, "revision" => %revision);
     }
 }
 
-fn apply_target(instance: &Instance, change: Change, detail: Detail) {
+fn apply_target(instance: &Instance, change: Change, origin: Origin) {
     let (number, revision) = (change.number, change.revision);
     let state = match &change.target {
         Some(target) if !change.removed => format!("{:?}", target.state),
         _ => "removed".to_owned(),
     };
     let now = instance.now();
-    let changed = instance.forwarder.borrow_mut().apply(change, now);
-    if changed && detail == Detail::Each {
+    let mut forwarder = instance.forwarder.borrow_mut();
+    let changed = match origin {
+        Origin::Watch => forwarder.apply(change, now),
+        Origin::FullRead => forwarder.apply_listed(change, now),
+    };
+    if changed && origin == Origin::Watch {
         info!(instance.reporter.log, "[catalogue] target changed"; "target" => %number,
-                "state" => state, "revision" => revision);
+                "state" => state, "revision" => %revision);
     }
 }
 
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -8,7 +8,8 @@
 
 use tanager_core::{Clock, Incarnation};
 use tanager_forward::{
-    Change, Epoch, Kind, Route, RouteTable, ServiceShare, Target, TargetNumber, TargetState,
+    Change, Epoch, Kind, Route, RouteTable, ServiceShare, StoreRevision, Target, TargetNumber,
+    TargetState,
 };
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::task::{LocalSet, spawn_local};
@@ -32,6 +33,8 @@
 store: 127.0.0.1:8169
 log: {output: stdout, format: json, level: error}
 ";
+/// The epoch of the scripted store.
+const EPOCH: Epoch = Epoch::new(1);
 /// Time that the scripted store takes for a page of targets.
 const PAGE_TIME: Duration = Duration::from_millis(20);
 
@@ -40,6 +43,7 @@
 struct Script {
     pages: VecDeque<Result<Page>>,
     routes: VecDeque<Result<PublicationBatch>>,
+    watches: VecDeque<PublicationBatch>,
 }
 
 thread_local! {
@@ -71,8 +75,11 @@
 
     fn rewind(&mut self) {}
 
-    async fn watch(&mut self, _after: u64, _wait: Duration) -> Result<PublicationBatch> {
-        Err(Error::answer("no watch is scripted"))
+    async fn watch(&mut self, after: StoreRevision, _wait: Duration) -> Result<PublicationBatch> {
+        let batch = SCRIPT.with_borrow_mut(|s| s.watches.pop_front());
+        let batch = batch.ok_or_else(|| Error::answer("no watch is scripted"))?;
+        Error::check_epoch(after.epoch, batch.revision.epoch)?;
+        Ok(batch)
     }
 
     fn take_calls(&mut self) -> u64 {
@@ -87,6 +94,10 @@
     Instance::new(settings, clock, reporter)
 }
 
+fn revision_at(number: u64) -> StoreRevision {
+    StoreRevision::new(EPOCH, number)
+}
+
 fn page(number: u64, revision: u64, more: bool) -> Page {
     let target = Target {
         number: TargetNumber::new(number),
@@ -97,13 +108,13 @@
         state: TargetState::Ready,
         warmup: Duration::ZERO,
         incarnation: Incarnation::new(1),
+        sequence: 1,
     };
-    let change = Change::published(target, revision);
+    let change = Change::published(target, revision_at(revision));
     Page {
         batch: PublicationBatch {
             items: vec![Publication::Target(change)],
-            revision,
-            epoch: Epoch::default(),
+            revision: revision_at(revision),
         },
         more,
     }
@@ -122,12 +133,27 @@
             weight: 1,
         }],
     };
-    let table = RouteTable::new(3, revision, Duration::from_secs(15), vec![route]);
+    let table = RouteTable::new(
+        3,
+        revision_at(revision),
+        Duration::from_secs(15),
+        vec![route],
+    );
     PublicationBatch {
         items: vec![Publication::Routes(table)],
-        revision,
-        epoch: Epoch::default(),
+        revision: revision_at(revision),
+    }
+}
+
+/// Moves a page to another epoch.
+fn in_epoch(epoch: Epoch, mut page: Page) -> Page {
+    page.batch.revision.epoch = epoch;
+    for item in &mut page.batch.items {
+        if let Publication::Target(change) = item {
+            change.revision.epoch = epoch;
+        }
     }
+    page
 }
 
 /// Runs a test's body in a `LocalSet`, where it may use `spawn_local`.
@@ -156,7 +182,7 @@
             .expect("a full read");
 
         let forwarder = instance.forwarder.borrow();
-        assert_eq!(forwarder.view().revision(), 5);
+        assert_eq!(forwarder.view().revision(), revision_at(5));
         assert!(forwarder.view().is_usable());
     });
 }
@@ -203,6 +229,52 @@
 
         assert!(first.is_err() && !usable);
         assert!(second.is_ok(), "{second:?}");
-        assert_eq!(instance.forwarder.borrow().view().revision(), 7);
+        assert_eq!(
+            instance.forwarder.borrow().view().revision(),
+            revision_at(7)
+        );
+    });
+}
+
+/// Guards against a view put together from two histories: the store is restored between two pages.
+#[test]
+fn a_full_read_starts_again_when_the_epoch_changes() {
+    run(async {
+        let instance = instance();
+        let later = Epoch::new(2);
+        SCRIPT.with_borrow_mut(|s| {
+            s.pages.push_back(Ok(page(1, 7, true)));
+            s.pages.push_back(Ok(in_epoch(later, page(2, 5, false))));
+            s.routes.push_back(Ok(routes(7)));
+        });
+        let mut reader = Reader::<ScriptedStore>::new(Rc::clone(&instance));
+
+        let outcome = reader.read().await;
+
+        assert!(
+            matches!(outcome, Err(Error::HistoryReplaced { .. })),
+            "{outcome:?}"
+        );
+        let revision = instance.forwarder.borrow().view().revision();
+        assert_eq!(revision, StoreRevision::NONE);
+    });
+}
+
+/// Guards against routes of one history beside targets of another.
+#[test]
+fn routes_of_another_epoch_are_read_again() {
+    run(async {
+        let instance = instance();
+        SCRIPT.with_borrow_mut(|s| {
+            s.pages
+                .push_back(Ok(in_epoch(Epoch::new(2), page(1, 5, false))));
+            s.routes.push_back(Ok(routes(7)));
+        });
+        let mut reader = Reader::<ScriptedStore>::new(Rc::clone(&instance));
+
+        let outcome = reader.read().await;
+
+        assert!(outcome.is_err(), "{outcome:?}");
+        assert!(!instance.forwarder.borrow().view().is_usable());
     });
 }
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -8,7 +8,7 @@
 use opentelemetry::metrics::Histogram;
 use slog::{Logger, info, warn};
 use tanager_core::{Clock, Millis};
-use tanager_forward::{DropReason, Event, Gauges, ResetReason};
+use tanager_forward::{DropReason, Event, Gauges, ResetReason, StoreRevision};
 use tanagerproxy::counters;
 use tanagerproxy::settings::LogSettings;
 use tanagerproxy::telemetry::{Exporter, Log};
@@ -222,7 +222,13 @@
 
     /// Counts and logs decisions and changes in the state of targets, with the revision and age of
     /// the view on which they are based.
-    pub fn log_events(&self, events: &[Event], revision: u64, age: Option<Duration>, now: Millis) {
+    pub fn log_events(
+        &self,
+        events: &[Event],
+        revision: StoreRevision,
+        age: Option<Duration>,
+        now: Millis,
+    ) {
         let age = age.map(millis);
         for event in events {
             self.count(event);
@@ -247,12 +253,12 @@
 
     /// Logs that the store fails or has recovered. A failure with the same text as the last one is
     /// only counted.
-    pub fn log_store_outcome(&self, outcome: std::result::Result<u64, &Error>) {
+    pub fn log_store_outcome(&self, outcome: std::result::Result<StoreRevision, &Error>) {
         let mut last_failure = self.store_failure.borrow_mut();
         match outcome {
             Ok(revision) => {
                 if last_failure.take().is_some() {
-                    info!(self.log, "[store] regained"; "revision" => revision);
+                    info!(self.log, "[store] regained"; "revision" => %revision);
                 }
             }
             Err(error) => {
@@ -287,7 +293,7 @@
         }
     }
 
-    fn write(&self, event: &Event, revision: u64, age_ms: Option<u64>) {
+    fn write(&self, event: &Event, revision: StoreRevision, age_ms: Option<u64>) {
         match event {
             Event::Placed {
                 flow,
@@ -299,37 +305,37 @@
             } => info!(self.log, "[forward] placed";
                 "flow" => %flow, "service" => %service, "target" => %target,
                 "load" => rounded(*load), "candidates" => candidates,
-                "attempt" => attempt, "revision" => revision, "view_age_ms" => age_ms),
+                "attempt" => attempt, "revision" => %revision, "view_age_ms" => age_ms),
             Event::Reset {
                 flow,
                 target,
                 reason,
             } => info!(self.log, "[forward] reset";
                 "flow" => %flow, "target" => target.map(|t| t.to_string()),
-                "reason" => %reason, "revision" => revision, "view_age_ms" => age_ms),
+                "reason" => %reason, "revision" => %revision, "view_age_ms" => age_ms),
             Event::Dropped {
                 flow,
                 cookie,
                 reason,
             } => info!(self.log, "[forward] dropped";
                 "flow" => %flow, "cookie" => %cookie, "reason" => %reason,
-                "revision" => revision, "view_age_ms" => age_ms),
+                "revision" => %revision, "view_age_ms" => age_ms),
             Event::Liveness(change) => info!(self.log, "[forward] target standing";
                 "target" => %change.target, "standing" => %change.liveness,
                 "misses" => change.misses,
                 "silent_ms" => change.since_last_response.map(millis),
                 "all_misses" => rounded(change.tally.misses),
                 "all_sound" => rounded(change.tally.sound),
-                "revision" => revision, "view_age_ms" => age_ms),
+                "revision" => %revision, "view_age_ms" => age_ms),
             Event::Health(change) => info!(self.log, "[forward] target health";
                 "target" => %change.target, "failing" => change.failing,
                 "rate" => rounded(change.rate), "sound" => rounded(change.tally.sound),
                 "failures" => rounded(change.tally.failures),
-                "revision" => revision, "view_age_ms" => age_ms),
+                "revision" => %revision, "view_age_ms" => age_ms),
             Event::Limit(change) => info!(self.log, "[forward] service limit";
                 "service" => %change.service, "limit" => change.limit.map(rounded),
                 "running" => change.running, "late_share" => rounded(change.late_share),
-                "revision" => revision, "view_age_ms" => age_ms),
+                "revision" => %revision, "view_age_ms" => age_ms),
         }
     }
 }
--- a/crates/forwarder/src/source.rs
+++ b/crates/forwarder/src/source.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use tanager_forward::{Change, Epoch, RouteTable, TargetNumber};
+use tanager_forward::{Change, RouteTable, StoreRevision, TargetNumber};
 
 use crate::Result;
 
@@ -19,7 +19,7 @@
         /// Its key in the store.
         key: String,
         /// The revision at which it was published.
-        revision: u64,
+        revision: StoreRevision,
         /// The target, if it is a target's entry.
         target: Option<TargetNumber>,
         /// Why it cannot be used.
@@ -32,10 +32,8 @@
 pub struct PublicationBatch {
     /// The publications.
     pub items: Vec<Publication>,
-    /// All changes up to this revision are in `items`.
-    pub revision: u64,
-    /// The epoch of all its revisions.
-    pub epoch: Epoch,
+    /// All changes up to this revision are in `items`, and all of its epoch.
+    pub revision: StoreRevision,
 }
 
 /// One page of the published targets.
@@ -65,10 +63,11 @@
     /// Makes the next [`Self::read_page`] return the first page.
     fn rewind(&mut self);
 
-    /// Returns the changes after a revision. If there are none, waits for one for up to `wait`.
+    /// Returns the changes after a revision. If there are none, waits for one for up to `wait`. Fails
+    /// with [`crate::Error::HistoryReplaced`] if the store has another epoch.
     fn watch(
         &mut self,
-        after: u64,
+        after: StoreRevision,
         wait: Duration,
     ) -> impl Future<Output = Result<PublicationBatch>>;
 
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -5,8 +5,8 @@
 
 use tanager_core::{Incarnation, Millis, ServiceName, ZoneName};
 use tanager_forward::{
-    Beacon, Change, Forwarder, Kind, Membership, OwnInstance, Role, Route, RouteTable,
-    ServiceShare, Target, TargetNumber, TargetState,
+    Beacon, Change, Epoch, Forwarder, Kind, Membership, OwnInstance, Role, Route, RouteTable,
+    ServiceShare, StoreRevision, Target, TargetNumber, TargetState,
 };
 
 use super::Settings;
@@ -14,7 +14,7 @@
 use super::targets::SLOTS;
 
 /// The revision of all targets and routes; nothing changes during a simulation.
-const REVISION: u64 = 1;
+const REVISION: StoreRevision = StoreRevision::new(Epoch::new(0), 1);
 /// Time without packets after which a flow ends.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -75,6 +75,7 @@
         state: TargetState::Ready,
         warmup: Duration::ZERO,
         incarnation: Incarnation::new(1),
+        sequence: 1,
     }
 }
 
@@ -112,7 +113,7 @@
         if role == Role::Hub {
             self.apply_peer_loads(now);
         }
-        let view = (REVISION, Some(Duration::ZERO));
+        let view = (self.forwarder.view().version(), Some(Duration::ZERO));
         let loads = self.forwarder.load_report(now);
         let recipients = self.membership.recipients(role, false, now);
         let beacons = recipients.into_iter().map(|to| {
