Send the whole view to peers that stand before this view's full read

Callers: a target that had left kept getting new flows through instances that read the view of a peer which had started since. It cost each of them the time of an unanswered opening, until the instance read the store itself.

Cause: a view sent the difference since the receiver's revision unless it had evicted removals since then. But a view that has read everything, or taken a peer's whole view, has never received the removals before that read either, so the difference lacked them, and the receiver counted as complete up to the newer revision.

Evidence: a_peer_that_has_started_since_sends_its_whole_view, and the property no_source_reverts_a_change with peers that have started, failed before. Found by the property tests of a restored store, where it leaves views apart for good (a target that starts and leaves within the new epoch before one view reads it).

Change: a view remembers after which revision it knows all removals, and sends its whole view to peers that stand before it.

--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -58,8 +58,9 @@
     routes: Arc<RouteTable>,
     /// All changes up to this revision have been applied.
     revision: StoreRevision,
-    /// Removed entries up to this revision may have been evicted.
-    evicted_revision: StoreRevision,
+    /// All removals after this revision are known. Earlier ones may have been evicted, or were not
+    /// received because targets were listed by a full read or a peer's whole view.
+    removals_after: StoreRevision,
     /// When a read decides about provisional entries. Invariant: set if there is one.
     settling: Option<Settling>,
     generation: u64,
@@ -245,6 +246,7 @@
         if retained {
             self.settle_later(revision.epoch, now);
         }
+        self.removals_after = self.removals_after.max(revision);
         removed
     }
 
@@ -257,7 +259,7 @@
     #[must_use]
     pub fn delta(&self, after: ViewVersion) -> Delta {
         let revision = after.revision;
-        let whole = revision < self.evicted_revision
+        let whole = revision < self.removals_after
             || revision.is_none()
             || revision.epoch != self.revision.epoch;
         let newer = |e: &&TargetEntry| whole || e.revision > revision;
@@ -314,7 +316,7 @@
             .values()
             .filter(|e| expired(e))
             .map(|e| e.revision);
-        self.evicted_revision = self.evicted_revision.max(evicted.max().unwrap_or_default());
+        self.removals_after = self.removals_after.max(evicted.max().unwrap_or_default());
         self.targets.retain(|_, e| !expired(e));
         let targets = &self.targets;
         self.by_cookie.retain(|_, n| targets.contains_key(n));
--- a/crates/forward/tests/restored_store.rs
+++ b/crates/forward/tests/restored_store.rs
@@ -273,6 +273,46 @@
             }
         }
     }
+
+    /// Guards against views that stay apart from the store or from each other after a restore.
+    #[test]
+    fn all_views_agree_with_the_store_once_it_has_settled(
+        (kept, lost, steps) in (operations(1..10), operations(0..10), steps())
+    ) {
+        let (mut store, mut views) = restored(&kept, &lost);
+        for step in steps {
+            perform(step, &mut store, &mut views, at(1_000));
+        }
+        // The hub reads the store after the others have merged its view, as after an outage.
+        for step in [Step::Watch(0), Step::Merge(1, 0), Step::Merge(2, 0)] {
+            perform(step, &mut store, &mut views, at(2_000));
+        }
+
+        let running: Vec<_> = store.running.keys().copied().collect();
+        for number in &running {
+            store.rewrite(*number);
+        }
+        let gone: Vec<_> = store.items.keys().copied().filter(|n| !running.contains(n)).collect();
+        for number in gone {
+            store.delete(number);
+        }
+        let now = at(2_000) + SETTLE_TIME;
+        perform(Step::Watch(0), &mut store, &mut views, now);
+        for view in 1..VIEWS {
+            let whole = views[view].is_settle_due(now);
+            let step = if whole { Step::MergeWhole(view, 0) } else { Step::Merge(view, 0) };
+            perform(step, &mut store, &mut views, now);
+        }
+
+        let ready = |target: &&Target| target.state == TargetState::Ready;
+        let mut expected: Vec<_> =
+            store.running.values().filter(ready).map(|t| t.number.get()).collect();
+        expected.sort_unstable();
+        for view in &views {
+            prop_assert_eq!(usable(view), expected.clone());
+            prop_assert_eq!(view.revision(), store.revision);
+        }
+    }
 }
 
 /// Guards against an instance that starts after the restore and uses a target that has left: only
--- a/crates/forward/tests/view_sources.rs
+++ b/crates/forward/tests/view_sources.rs
@@ -40,6 +40,8 @@
     MergeWhole(usize),
     /// Merges the changes since its own revision of such a peer.
     MergeDelta(usize),
+    /// Merges the same from a peer that has started there, with a full read of the store.
+    MergeStarted(usize),
     /// Reads the first page, merges the whole view of a peer, and reads the last page.
     ReadPages {
         first: usize,
@@ -89,6 +91,18 @@
         view
     }
 
+    /// Returns the view of a peer that has read everything after this many changes.
+    fn started(&self, position: usize) -> View {
+        let mut view = View::default();
+        for entry in (1..=TARGETS).filter_map(|n| self.entry(n, position)) {
+            view.apply_listed(entry, at(0));
+        }
+        let revision = Self::revision(position);
+        view.remove_unlisted(|_| true, revision, at(0));
+        view.advance(revision);
+        view
+    }
+
     fn watch(&self, view: &mut View, position: usize, now: Millis) {
         for index in 0..position {
             if Self::revision(index + 1) > view.revision() {
@@ -123,7 +137,11 @@
             Step::Watch(position) if known => {
                 self.history.watch(&mut self.view, position, self.now);
             }
-            Step::MergeDelta(_) | Step::Watch(_) => {}
+            Step::MergeStarted(position) if known => {
+                let delta = self.history.started(position).delta(self.view.version());
+                self.view.merge(delta, self.now);
+            }
+            Step::MergeDelta(_) | Step::MergeStarted(_) | Step::Watch(_) => {}
             Step::Evict => {
                 self.now = self.now + EVICTION_TIME;
                 self.view.expire(self.now);
@@ -213,6 +231,7 @@
     let step = prop_oneof![
         position.clone().prop_map(Step::MergeWhole),
         position.clone().prop_map(Step::MergeDelta),
+        position.clone().prop_map(Step::MergeStarted),
         pages.prop_map(|(first, peer, last)| Step::ReadPages { first, peer, last }),
         position.prop_map(Step::Watch),
         Just(Step::Evict),
@@ -260,3 +279,15 @@
     assert!(entry.removed.is_some());
     assert_eq!(view.published().count(), 0);
 }
+
+/// Guards against using a target that has left: a peer that has started since knows only what the
+/// store listed at its start, so the difference since an earlier revision lacks the removal.
+#[test]
+fn a_peer_that_has_started_since_sends_its_whole_view() {
+    let history = History(vec![Operation::Publish(1), Operation::Remove(1)]);
+    let mut view = history.peer(1);
+
+    view.merge(history.started(2).delta(view.version()), at(0));
+
+    assert_eq!(view.published().count(), 0);
+}
