Order published documents by epoch and revision

Operators: after the configuration service of tanager-balancer was restored from a copy, an edit whose number had been used before was refused as not newer (TP120) or as a conflict (TP121) on each instance, although the service had accepted it. The instance list, whose numbers the platform assigns, was ignored until it had counted past the old one, so instances that had left kept their share of the limits.

Change: a document may name its epoch, and a Revision consists of epoch and number. Reads name the epoch beside the revision. A restored document names the old epoch and so stays older than the one in force: nothing goes back. Catalogue and list read their revision with one function.

Ruled out: an epoch in the answers of the service. The restored text would then count as newer than the one in force and revert it.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -59,10 +59,6 @@
     /// Identifies one run of a process: a new process at the same address has another incarnation.
     Incarnation(u64)
 }
-number_id! {
-    /// The revision of a published document; a higher number is newer.
-    Revision(u64)
-}
 number_id! {
     /// How many times a flow has been moved to another target.
     Generation(u32)
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,16 +7,18 @@
 mod ids;
 mod invariant;
 mod quantity;
+mod revision;
 
 pub use clock::{Clock, Millis};
 pub use code::{ResultCode, RunState};
 pub use error::{Error, Result};
 pub use ids::{
-    FlowId, Generation, Incarnation, InstanceName, OwnerName, RegionName, RequestId, Revision,
-    ServiceId, ServiceName, TargetId, TargetName, ZoneName,
+    FlowId, Generation, Incarnation, InstanceName, OwnerName, RegionName, RequestId, ServiceId,
+    ServiceName, TargetId, TargetName, ZoneName,
 };
 pub use invariant::{record_violation, violations};
 pub use quantity::{ByteSize, Rate, parse_duration};
+pub use revision::Revision;
 
 /// A hash map with a fast, randomly seeded hasher.
 pub type FastMap<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 
-use crate::{ByteSize, Rate, RequestId, ResultCode, ServiceName, parse_duration};
+use crate::{ByteSize, Rate, RequestId, ResultCode, Revision, ServiceName, parse_duration};
 
 /// Guards against two codes sharing a number, which would make logs ambiguous.
 #[test]
@@ -48,3 +48,18 @@
         prop_assert_eq!(id.to_string().parse(), Ok(id));
     }
 }
+
+/// Guards against taking a number that was given out again for an older one.
+#[test]
+fn revisions_of_a_later_epoch_are_newer() {
+    let earlier = Revision::new(900);
+    let later = Revision::try_new(1, 3).expect("a revision");
+
+    assert!(later > earlier);
+    assert_eq!((later.epoch(), later.number()), (1, 3));
+    assert_eq!(later.to_string().parse(), Ok(later));
+    assert_eq!(earlier.to_string().parse(), Ok(earlier));
+    assert!(Revision::try_new(1 << 24, 1).is_err());
+    assert!(Revision::try_new(0, 1 << 40).is_err());
+    assert!("1:".parse::<Revision>().is_err());
+}
--- a/crates/ctl/src/dashboard.rs
+++ b/crates/ctl/src/dashboard.rs
@@ -76,10 +76,11 @@
 /// Lists the problems that an operator must act on.
 fn problems(pages: &[Page]) -> String {
     let mut out = String::new();
-    let newest = pages.iter().map(|p| number(&p.body, "revision")).max();
+    let revision = |body| (number(body, "epoch"), number(body, "revision"));
+    let newest = pages.iter().map(|p| revision(&p.body)).max();
     for Page { body, .. } in pages {
         let name = text(body, "instance");
-        if Some(number(body, "revision")) != newest {
+        if Some(revision(body)) != newest {
             let _ = writeln!(out, "{name}: an older catalogue revision is in force");
         }
         for problem in body["catalogue_problems"].as_array().into_iter().flatten() {
--- a/crates/proxy/src/catalogue/check.rs
+++ b/crates/proxy/src/catalogue/check.rs
@@ -11,8 +11,11 @@
 };
 use crate::settings::{Checker, Problem, Section, problems_of};
 
-/// Accepted revisions. A larger one is treated as an error, as it would hide all later edits.
+/// Accepted numbers of a revision. A larger one is treated as an error, as it would hide all later
+/// edits.
 const REVISION_RANGE: RangeInclusive<u64> = 1..=1_000_000_000_000;
+/// Accepted epochs of a revision.
+const EPOCH_RANGE: RangeInclusive<u64> = 0..=1_000_000;
 /// Service and target numbers. In a packet, 0 is the value of a missing number.
 const NUMBER_RANGE: RangeInclusive<u64> = 1..=u32::MAX as u64;
 /// Open feeds over the fleet; the design size is 19 million.
@@ -32,9 +35,20 @@
     problems_of(Catalogue::read(text))
 }
 
+/// Reads the revision of a published document: its number and, if numbers have been given out again,
+/// its epoch.
+pub(crate) fn check_revision(top: &Section<'_>, checker: &mut Checker) -> Option<Revision> {
+    let epoch = match top.get("epoch") {
+        Some(_) => top.number(checker, "epoch", EPOCH_RANGE),
+        None => Some(0),
+    };
+    let number = top.number(checker, "revision", REVISION_RANGE);
+    Revision::try_new(epoch?, number?).ok()
+}
+
 pub(super) fn check_catalogue(top: &Section<'_>, checker: &mut Checker) -> Option<Catalogue> {
-    top.check_keys(checker, &["revision", "owners", "entries"], &[]);
-    let revision = top.number(checker, "revision", REVISION_RANGE);
+    top.check_keys(checker, &["revision", "owners", "entries"], &["epoch"]);
+    let revision = check_revision(top, checker);
     let mut owners = FastMap::default();
     // An owner with problems of its own still counts as defined, so that the services which refer
     // to it are not reported too.
@@ -55,7 +69,7 @@
     }
     check_minimums(top, &owners, &entries, checker);
     Some(Catalogue {
-        revision: Revision::new(revision?),
+        revision: revision?,
         owners,
         entries,
         service_of_target,
--- a/crates/proxy/src/catalogue/mod.rs
+++ b/crates/proxy/src/catalogue/mod.rs
@@ -10,6 +10,7 @@
 mod store;
 
 pub use check::check;
+pub(crate) use check::check_revision;
 pub use delta::{Delta, Region};
 pub use document::{Catalogue, Limits, Owner, PriorityClass, ServiceEntry, Target, TargetState};
 pub use document::{Digest, digest};
--- a/crates/proxy/src/catalogue/reader.rs
+++ b/crates/proxy/src/catalogue/reader.rs
@@ -165,7 +165,7 @@
                 (instances, Duration::ZERO)
             }
         };
-        let size_known = self.membership.list().revision.get() > 0 || callers > 1;
+        let size_known = !self.membership.list().revision.is_none() || callers > 1;
         match (read, usable) {
             (Err(_), _) => watch
                 .schedule
@@ -189,7 +189,9 @@
         // Jitter keeps watches that started at the same time from ending at the same time.
         let wait = hold_time.mul_f64(rand::rng().random_range(0.8..1.0));
         let url = format!(
-            "http://{address}/v1/{document}?after={after}&wait_ms={}&zone={}",
+            "http://{address}/v1/{document}?after={}&epoch={}&wait_ms={}&zone={}",
+            after.number(),
+            after.epoch(),
             wait.as_millis(),
             self.membership.identity().zone
         );
--- a/crates/proxy/src/catalogue/store.rs
+++ b/crates/proxy/src/catalogue/store.rs
@@ -126,9 +126,13 @@
     #[must_use]
     pub fn watch_after(&self) -> Revision {
         let current = self.current.load().revision;
-        let limit = current.get().saturating_add(MAX_REVISION_SKIP);
+        let limit = current.number().saturating_add(MAX_REVISION_SKIP);
         match self.refusals().last_refused {
-            Some((_, Some(refused))) if refused.get() <= limit => current.max(refused),
+            Some((_, Some(refused)))
+                if refused.epoch() == current.epoch() && refused.number() <= limit =>
+            {
+                current.max(refused)
+            }
             _ => current,
         }
     }
@@ -245,13 +249,15 @@
     };
     Error::Revision {
         code,
-        offered: offered.revision.get(),
-        current: current.revision.get(),
+        offered: offered.revision,
+        current: current.revision,
     }
 }
 
 /// Reads the revision of a document that may be invalid in other respects.
 fn parse_revision(text: &str) -> Option<Revision> {
-    let line = text.lines().find_map(|l| l.strip_prefix("revision:"))?;
-    line.trim().parse().ok()
+    let field = |name| text.lines().find_map(|l: &str| l.strip_prefix(name));
+    let epoch = field("epoch:").map_or(Ok(0), |epoch| epoch.trim().parse());
+    let number = field("revision:")?.trim().parse();
+    Revision::try_new(epoch.ok()?, number.ok()?).ok()
 }
--- a/crates/proxy/src/catalogue/tests.rs
+++ b/crates/proxy/src/catalogue/tests.rs
@@ -44,7 +44,23 @@
     let error = store.offer(&document(4)).expect_err("older");
 
     assert_eq!(code(&error), ResultCode::RevisionNotNewer);
-    assert_eq!(store.current().revision.get(), 5);
+    assert_eq!(store.current().revision.number(), 5);
+}
+
+/// Guards against ignoring an edit after the platform was restored from a copy: its number was used
+/// before, by an edit that the platform has lost. The restored text itself must not come into force.
+#[test]
+fn a_revision_given_out_again_in_a_later_epoch_comes_into_force() {
+    let store = CatalogueStore::default();
+    store.offer(&document(7)).expect("before the restore");
+    let edit = format!("epoch: 1\n{}", document(6).replace("slots: 2", "slots: 3"));
+
+    let restored = store.offer(&document(5)).expect_err("older");
+    store.offer(&edit).expect("a later epoch");
+
+    assert_eq!(code(&restored), ResultCode::RevisionNotNewer);
+    assert_eq!(store.current().revision.to_string(), "1:6");
+    store.offer(&document(8)).expect_err("an earlier epoch");
 }
 
 /// Guards against an invalid edit that removes services.
@@ -58,7 +74,7 @@
         .expect_err("invalid");
 
     assert_eq!(code(&error), ResultCode::DocumentReference);
-    assert_eq!(store.current().revision.get(), 1);
+    assert_eq!(store.current().revision.number(), 1);
     assert_eq!(store.refused_problems().len(), 1);
 }
 
--- a/crates/proxy/src/error.rs
+++ b/crates/proxy/src/error.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use miette::{Diagnostic, SourceCode};
-use tanager_core::ResultCode;
+use tanager_core::{ResultCode, Revision};
 
 use crate::settings::Problem;
 
@@ -31,9 +31,9 @@
         /// [`ResultCode::RevisionNotNewer`] or [`ResultCode::RevisionConflict`].
         code: ResultCode,
         /// The revision offered.
-        offered: u64,
+        offered: Revision,
         /// The revision in force.
-        current: u64,
+        current: Revision,
     },
     /// A listening socket cannot be opened.
     #[error("cannot listen on {address}: {source}")]
--- a/crates/proxy/src/membership/list.rs
+++ b/crates/proxy/src/membership/list.rs
@@ -1,19 +1,16 @@
 //! The platform's list of instances.
 
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use tanager_core::{InstanceName, RegionName, Revision, ZoneName};
 
 use crate::Result;
-use crate::catalogue::{Digest, digest};
+use crate::catalogue::{Digest, check_revision, digest};
 use crate::settings::{Checker, Section};
 
 const DOCUMENT: &str = "instance list";
-/// Accepted revisions. A larger one is treated as an error, as it would hide all later lists.
-const REVISION_RANGE: RangeInclusive<u64> = 1..=1_000_000_000_000;
 
 /// The platform's list of instances.
 #[derive(Debug, Clone)]
@@ -78,13 +75,13 @@
 }
 
 fn check_list(top: &Section<'_>, checker: &mut Checker) -> Option<InstanceList> {
-    top.check_keys(checker, &["revision", "instances"], &[]);
-    let revision = top.number(checker, "revision", REVISION_RANGE);
+    top.check_keys(checker, &["revision", "instances"], &["epoch"]);
+    let revision = check_revision(top, checker);
     let sections = top.sections(checker, "instances");
     let instances = sections.iter().filter_map(|s| check_instance(s, checker));
     let instances = instances.collect();
     Some(InstanceList {
-        revision: Revision::new(revision?),
+        revision: revision?,
         instances,
         ..InstanceList::empty()
     })
--- a/crates/proxy/src/membership/pull.rs
+++ b/crates/proxy/src/membership/pull.rs
@@ -110,7 +110,7 @@
         if own.revision >= revision || refused {
             return;
         }
-        let base = (own.revision.get() > 0).then_some(own.digest);
+        let base = (!own.revision.is_none()).then_some(own.digest);
         let mut reply = self.fetch(kind, &own, base, peer).await;
         if let Some(DocumentReply::Changed(delta)) = reply {
             if let Some(text) = delta.apply(&own.text) {
--- a/crates/proxy/src/membership/tests.rs
+++ b/crates/proxy/src/membership/tests.rs
@@ -45,6 +45,20 @@
     text
 }
 
+/// Guards against instances that have left but stay listed, with their share of the limits, after
+/// the platform was restored: it counts on from an earlier revision.
+#[test]
+fn a_list_of_a_later_epoch_replaces_one_with_a_higher_revision() {
+    let membership = membership();
+    membership.offer_list(&list(9, 0..4)).expect("a list");
+
+    let restored = format!("epoch: 1\n{}", list(4, 0..2));
+    membership.offer_list(&restored).expect("a later epoch");
+    membership.offer_list(&list(10, 0..4)).expect("ignored");
+
+    assert_eq!(membership.list().instances.len(), 2);
+}
+
 /// Guards against limits divided by too few instances while the list lags behind a new one.
 #[test]
 fn instances_count_before_they_are_listed() {
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -144,7 +144,7 @@
     /// instance is not leaving.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.catalogue.current().revision.get() > 0
+        !self.catalogue.current().revision.is_none()
             && self.gossip.is_bootstrapped()
             && !self.membership.is_leaving()
     }
--- a/crates/proxy/src/settings/section.rs
+++ b/crates/proxy/src/settings/section.rs
@@ -273,7 +273,7 @@
             .collect()
     }
 
-    fn get(&self, key: &str) -> Option<&'a Tree> {
+    pub(crate) fn get(&self, key: &str) -> Option<&'a Tree> {
         let entry = self.entries.iter().find(|e| e.key == key);
         entry.map(|e| &e.value)
     }
--- a/crates/proxy/src/status/metrics.rs
+++ b/crates/proxy/src/status/metrics.rs
@@ -29,11 +29,14 @@
 type NodeGauge = (&'static str, &'static str, fn(&Node) -> f64);
 
 const GAUGES: &[NodeGauge] = &[
+    ("epoch", "Epoch of the catalogue in force.", |n| {
+        integer_as_f64(n.revision().epoch())
+    }),
     ("revision", "Revision of the catalogue in force.", |n| {
-        integer_as_f64(n.revision().get())
+        integer_as_f64(n.revision().number())
     }),
     ("list_revision", "Revision of the instance list.", |n| {
-        integer_as_f64(n.membership.list().revision.get())
+        integer_as_f64(n.membership.list().revision.number())
     }),
     ("ready", "1 if the instance takes new work.", |n| {
         f64::from(u8::from(n.is_ready()))
--- a/crates/proxy/src/status/page.rs
+++ b/crates/proxy/src/status/page.rs
@@ -23,6 +23,8 @@
     pub incarnation: u64,
     /// Whether it is stopping.
     pub leaving: bool,
+    /// Epoch of the catalogue in force.
+    pub epoch: u64,
     /// Revision of the catalogue in force; 0 before any was read.
     pub revision: u64,
     /// Whether the instance accepts new work.
@@ -35,6 +37,8 @@
     pub problem_count: usize,
     /// The first of these problems.
     pub catalogue_problems: Vec<String>,
+    /// Epoch of the instance list.
+    pub list_epoch: u64,
     /// Revision of the instance list.
     pub list_revision: u64,
     /// How the instance receives changes: `watcher`, `alone` or `informed`; see
@@ -95,13 +99,15 @@
             zone: identity.zone.to_string(),
             incarnation: identity.incarnation.get(),
             leaving: node.membership.is_leaving(),
-            revision: catalogue.revision.get(),
+            epoch: catalogue.revision.epoch(),
+            revision: catalogue.revision.number(),
             ready: node.is_ready(),
             digest: format!("{:032x}", u128::from_be_bytes(catalogue.digest)),
             conflict: node.catalogue.has_conflict(),
             problem_count: problems.len(),
             catalogue_problems: shown.map(ToString::to_string).collect(),
-            list_revision: node.membership.list().revision.get(),
+            list_epoch: node.membership.list().revision.epoch(),
+            list_revision: node.membership.list().revision.number(),
             watching: node.membership.watch_role().to_string(),
             instances_heard: node.membership.recently_seen_count(),
             instances_leaving: leaving_count(node),
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tanager_core::FastSet;
+use tanager_core::{FastSet, Revision};
 use tokio::sync::watch;
 
 use crate::control::{ControlRequest, Handler, Reply};
@@ -25,9 +25,16 @@
 
 #[derive(Debug, Clone, Default)]
 struct Document {
-    revision: u64,
+    revision: Option<Revision>,
     text: String,
-    stale: (u64, String),
+    stale: (Option<Revision>, String),
+}
+
+/// The documents at one time, from which the service can be restored.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    catalogue: Document,
+    instances: Document,
 }
 
 #[derive(Debug, Default)]
@@ -90,6 +97,25 @@
         self.shared.publish("instances", text);
     }
 
+    /// Copies the documents.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        let state = self.shared.lock();
+        Copy {
+            catalogue: state.catalogue.clone(),
+            instances: state.instances.clone(),
+        }
+    }
+
+    /// Replaces the documents by those of a copy; later ones are lost.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.shared.lock();
+        state.catalogue = copy.catalogue;
+        state.instances = copy.instances;
+        drop(state);
+        self.shared.changed.send_modify(|n| *n += 1);
+    }
+
     /// Starts or ends a fault.
     pub fn set_fault(&self, fault: Fault) {
         self.shared.set_fault(fault);
@@ -120,7 +146,9 @@
 
     async fn watch(&self, name: &str, request: &ControlRequest) -> Reply {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        let after = request.parameter("after").unwrap_or(0);
+        let epoch = request.parameter("epoch").unwrap_or(0);
+        let number = request.parameter("after").unwrap_or(0);
+        let after = Revision::try_new(epoch, number).unwrap_or(Revision::new(0));
         let wait = Duration::from_millis(request.parameter("wait_ms").unwrap_or(0));
         let end = tokio::time::Instant::now() + wait;
         let mut changed = self.changed.subscribe();
@@ -138,7 +166,7 @@
         }
     }
 
-    fn read(&self, name: &str, after: u64, request: &ControlRequest) -> Option<Reply> {
+    fn read(&self, name: &str, after: Revision, request: &ControlRequest) -> Option<Reply> {
         let state = self.lock();
         let is_blocked = request
             .query
@@ -152,19 +180,25 @@
             let (revision, text) = &document.stale;
             // A stale replica compares only for inequality: it serves its document even to readers
             // with a newer revision.
-            return (*revision > 0 && *revision != after).then(|| (200, text.clone()));
+            return revision
+                .is_some_and(|r| r != after)
+                .then(|| (200, text.clone()));
         }
-        (document.revision > after).then(|| (200, document.text.clone()))
+        document
+            .revision
+            .is_some_and(|r| r > after)
+            .then(|| (200, document.text.clone()))
     }
 
     /// Replaces a document if the edit is based on the published revision, so that one of two
     /// concurrent edits is refused.
     fn edit(&self, name: &str, request: &ControlRequest) -> Reply {
-        let expected: Option<u64> = request.parameter("expected");
+        let expected: Option<Revision> = request.parameter("expected");
         // Compare and replace under one lock: concurrent edits must not both succeed.
         let mut state = self.lock();
         let current = state.document(name).revision;
-        if expected.is_some_and(|e| e != current) {
+        if expected.is_some_and(|e| Some(e) != current) {
+            let current = current.unwrap_or(Revision::new(0));
             return (409, format!("revision {current} is published\n"));
         }
         state.publish(name, &request.body);
@@ -204,7 +238,7 @@
             "catalogue" => &mut self.catalogue,
             _ => &mut self.instances,
         };
-        document.revision = revision_of(text).unwrap_or(document.revision + 1);
+        document.revision = revision_of(text);
         text.clone_into(&mut document.text);
     }
 
@@ -216,8 +250,10 @@
     }
 }
 
-/// Reads the revision line of a document without checking the rest.
-fn revision_of(text: &str) -> Option<u64> {
-    let line = text.lines().find_map(|l| l.strip_prefix("revision:"))?;
-    line.trim().parse().ok()
+/// Reads the revision and epoch of a document without checking the rest.
+fn revision_of(text: &str) -> Option<Revision> {
+    let field = |name| text.lines().find_map(|l: &str| l.strip_prefix(name));
+    let epoch = field("epoch:").map_or(Ok(0), |epoch| epoch.trim().parse());
+    let number = field("revision:")?.trim().parse();
+    Revision::try_new(epoch.ok()?, number.ok()?).ok()
 }
--- a/crates/standins/tests/admission.rs
+++ b/crates/standins/tests/admission.rs
@@ -46,7 +46,7 @@
     for _ in 0..500 {
         if fleet
             .running()
-            .all(|n| n.revision().get() >= fleet.revision)
+            .all(|n| n.revision().number() >= fleet.revision)
         {
             return;
         }
--- a/crates/standins/tests/catalogue.rs
+++ b/crates/standins/tests/catalogue.rs
@@ -56,7 +56,7 @@
     block_zones(&fleet, &["a", "b", "c"]);
 
     fleet.publish_services();
-    let read = wait_until(IN_FORCE_LIMIT, || reader.revision().get() == 2).await;
+    let read = wait_until(IN_FORCE_LIMIT, || reader.revision().number() == 2).await;
     fleet.platform.set_fault(Fault::Down);
 
     assert!(read, "the reading instance did not get the change");
@@ -82,7 +82,7 @@
     let ready = wait_until(IN_FORCE_LIMIT, || node.is_ready()).await;
 
     assert!(ready, "not ready; revision {}", node.revision());
-    assert_eq!(node.revision().get(), 2);
+    assert_eq!(node.revision().number(), 2);
 }
 
 /// A network that delays connections to peers, so that the platform answers before any of them.
@@ -122,11 +122,11 @@
             fleet
                 .running()
                 .take(4)
-                .map(|n| n.revision().get())
+                .map(|n| n.revision().number())
                 .min()
                 .unwrap_or(0),
         );
-        lowest < 2 || (added.is_ready() && added.revision().get() < 2)
+        lowest < 2 || (added.is_ready() && added.revision().number() < 2)
     })
     .await;
 
@@ -134,6 +134,36 @@
     assert!(added.is_ready());
 }
 
+/// Guards against edits that are ignored after the platform was restored from a copy, since their
+/// numbers were used before, and against going back to the restored text meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn edits_after_a_restore_are_in_force_everywhere() {
+    let mut fleet = fleet(4).await;
+    let copy = fleet.platform.copy();
+    fleet.publish_services();
+    fleet.publish_services();
+    assert!(all_reach_revision(&fleet, 3).await);
+
+    fleet.platform.restore(copy);
+    let network = Arc::new(TcpNetwork);
+    fleet.add_node("a", network).await.expect("node");
+    let added = Arc::clone(&fleet.nodes[4].node);
+    let reverted = wait_until(Duration::from_secs(2), || {
+        let mut running = fleet.running();
+        added.is_ready() && running.any(|n| n.revision().number() < 3)
+    })
+    .await;
+    let edit = format!("epoch: 1\n{}", catalogue(2, &fleet.services));
+    fleet.platform.publish_catalogue(&edit);
+    let in_force = wait_until(IN_FORCE_LIMIT, || {
+        fleet.running().all(|n| n.revision().epoch() == 1)
+    })
+    .await;
+
+    assert!(!reverted, "{:?}", revisions(&fleet));
+    assert!(in_force, "{:?}", revisions(&fleet));
+}
+
 /// Guards against an invalid catalogue that removes services or blocks the next catalogue.
 #[tokio::test(flavor = "multi_thread")]
 async fn invalid_catalogue_changes_nothing() {
@@ -143,7 +173,7 @@
 
     fleet.platform.publish_catalogue(&faulty);
     let changed = wait_until(Duration::from_secs(3), || {
-        fleet.running().any(|n| n.revision().get() != 1)
+        fleet.running().any(|n| n.revision().number() != 1)
     })
     .await;
     let status = fetch_page(&node, "/status").await;
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -36,13 +36,13 @@
 
 pub async fn all_reach_revision(fleet: &Fleet, revision: u64) -> bool {
     wait_until(IN_FORCE_LIMIT, || {
-        fleet.running().all(|n| n.revision().get() >= revision)
+        fleet.running().all(|n| n.revision().number() >= revision)
     })
     .await
 }
 
 pub fn revisions(fleet: &Fleet) -> Vec<u64> {
-    fleet.running().map(|n| n.revision().get()).collect()
+    fleet.running().map(|n| n.revision().number()).collect()
 }
 
 pub async fn fetch_page(node: &Node, path: &str) -> Value {
--- a/crates/standins/tests/lending.rs
+++ b/crates/standins/tests/lending.rs
@@ -95,7 +95,7 @@
     }
 
     fn revision(&self, node: usize) -> u64 {
-        self.fleet.nodes[node].node.revision().get()
+        self.fleet.nodes[node].node.revision().number()
     }
 
     fn address(&self, node: usize) -> SocketAddr {
--- a/crates/standins/tests/spread.rs
+++ b/crates/standins/tests/spread.rs
@@ -96,7 +96,7 @@
     fleet.publish_services();
     let reachable = wait_until(IN_FORCE_LIMIT, || {
         let mut nodes = fleet.running();
-        nodes.all(|n| n.revision().get() == 2 || n.peer_address() == frozen.peer_address())
+        nodes.all(|n| n.revision().number() == 2 || n.peer_address() == frozen.peer_address())
     })
     .await;
     tokio::time::sleep_until(resumed).await;
@@ -118,7 +118,7 @@
 
     fleet.publish_services();
     let read = wait_until(IN_FORCE_LIMIT, || {
-        fleet.running().any(|n| n.revision().get() == 2)
+        fleet.running().any(|n| n.revision().number() == 2)
     })
     .await;
     fleet.platform.set_fault(Fault::Down);
