Split the handling of unlisted targets, and parse revisions in one place

Found when the diff was read again: remove_unlisted had grown to three cases in a loop, which are now a method of the entry with a named outcome; the stand-in platform repeated the library's parser of a document's revision and epoch.

--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -10,7 +10,7 @@
 
 use crate::{Cookie, RouteTable, StoreRevision, Target, TargetNumber, TargetState, ViewVersion};
 pub use change::{Change, Delta, UpdateEffect};
-use epochs::Settling;
+use epochs::{Omission, Settling};
 
 /// How long the entry of a removed target is retained. Longer than any flow lasts.
 const RETENTION: Duration = Duration::from_mins(2);
@@ -217,31 +217,18 @@
         revision: StoreRevision,
         now: Millis,
     ) -> Vec<TargetNumber> {
-        let due = self.is_settled(revision.epoch, now);
-        let mut retained = false;
+        let settled = self.is_settled(revision.epoch, now);
         let mut removed = Vec::new();
+        let mut retained = false;
         for (number, entry) in &mut self.targets {
             if entry.revision > revision || listed(*number) {
                 continue;
             }
-            let earlier = entry.revision.epoch < revision.epoch;
-            if entry.removed.is_some() {
-                // A peer may have read the entry in this epoch, before the store removed it.
-                if earlier || entry.provisional {
-                    entry.revision = revision;
-                    entry.provisional = false;
-                }
-                continue;
-            }
-            if earlier || (entry.provisional && !due) {
-                entry.retain_until_settled(revision);
-                retained = true;
-                continue;
+            match entry.omit(revision, settled, now) {
+                Omission::None => {}
+                Omission::Retained => retained = true,
+                Omission::Removed => removed.push(*number),
             }
-            entry.removed = Some(now);
-            entry.provisional = false;
-            entry.revision = revision;
-            removed.push(*number);
         }
         if retained {
             self.settle_later(revision.epoch, now);
--- a/crates/forward/src/view/epochs.rs
+++ b/crates/forward/src/view/epochs.rs
@@ -9,8 +9,8 @@
 
 use tanager_core::Millis;
 
-use super::View;
 use super::change::{Change, PublishedState, UpdateEffect};
+use super::{TargetEntry, View};
 use crate::{Epoch, StoreRevision};
 
 /// Time for which provisional entries are retained. Within it, targets that are running publish
@@ -19,6 +19,17 @@
 /// Time after which a read that has left entries provisional is repeated.
 const RETRY_TIME: Duration = Duration::from_secs(1);
 
+/// What follows from a read that does not list a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Omission {
+    /// Nothing: it was known to be removed.
+    None,
+    /// The target may not have published itself again yet in a new epoch.
+    Retained,
+    /// The target was removed.
+    Removed,
+}
+
 /// The time until which provisional entries are retained.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Settling {
@@ -109,11 +120,34 @@
     }
 }
 
-impl super::TargetEntry {
+impl TargetEntry {
     pub(super) const fn state(&self) -> PublishedState {
         PublishedState::new(&self.target, self.removed.is_some())
     }
 
+    /// Applies that a read at a revision does not list the target. `settled` tells whether targets
+    /// have had time to publish themselves again in its epoch.
+    pub(super) fn omit(&mut self, revision: StoreRevision, settled: bool, now: Millis) -> Omission {
+        let is_earlier = self.revision.epoch < revision.epoch;
+        if self.removed.is_some() {
+            // The revision is raised for peers that have read the entry in this epoch, before the
+            // store removed it.
+            if is_earlier || self.provisional {
+                self.revision = revision;
+                self.provisional = false;
+            }
+            return Omission::None;
+        }
+        if is_earlier || (self.provisional && !settled) {
+            self.retain_until_settled(revision);
+            return Omission::Retained;
+        }
+        self.removed = Some(now);
+        self.provisional = false;
+        self.revision = revision;
+        Omission::Removed
+    }
+
     pub(super) const fn retain_until_settled(&mut self, revision: StoreRevision) {
         self.revision = revision;
         self.provisional = true;
--- a/crates/proxy/src/catalogue/mod.rs
+++ b/crates/proxy/src/catalogue/mod.rs
@@ -16,7 +16,7 @@
 pub use document::{Digest, digest};
 pub use history::{DocumentKind, DocumentReply, DocumentRequest, History, PublishedDocument};
 pub use reader::PlatformReader;
-pub use store::{CatalogueStore, Source};
+pub use store::{CatalogueStore, Source, parse_revision};
 
 /// Maximum size of an accepted document in bytes. The platform publishes values of up to 1 MB.
 const DOCUMENT_LIMIT: usize = 1 << 20;
--- a/crates/proxy/src/catalogue/store.rs
+++ b/crates/proxy/src/catalogue/store.rs
@@ -255,7 +255,8 @@
 }
 
 /// Reads the revision of a document that may be invalid in other respects.
-fn parse_revision(text: &str) -> Option<Revision> {
+#[must_use]
+pub fn parse_revision(text: &str) -> Option<Revision> {
     let field = |name| text.lines().find_map(|l: &str| l.strip_prefix(name));
     let epoch = field("epoch:").map_or(Ok(0), |epoch| epoch.trim().parse());
     let number = field("revision:")?.trim().parse();
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tanager_core::{FastSet, Revision};
+use tanagerproxy::catalogue::parse_revision;
 use tokio::sync::watch;
 
 use crate::control::{ControlRequest, Handler, Reply};
@@ -238,7 +239,7 @@
             "catalogue" => &mut self.catalogue,
             _ => &mut self.instances,
         };
-        document.revision = revision_of(text);
+        document.revision = parse_revision(text);
         text.clone_into(&mut document.text);
     }
 
@@ -249,11 +250,3 @@
         }
     }
 }
-
-/// Reads the revision and epoch of a document without checking the rest.
-fn revision_of(text: &str) -> Option<Revision> {
-    let field = |name| text.lines().find_map(|l: &str| l.strip_prefix(name));
-    let epoch = field("epoch:").map_or(Ok(0), |epoch| epoch.trim().parse());
-    let number = field("revision:")?.trim().parse();
-    Revision::try_new(epoch.ok()?, number.ok()?).ok()
-}
