--- a/review/2/run.py
+++ b/review/2/run.py
@@ -15,6 +15,8 @@
 LATER = ("198.18.0.2", 9002)
 BOUND_S = BOUNDS["config_apply_ms"] / 1000
 PER_S = 20
+# VARIANT=name: the new route has an ordinary priority, and its service has a capital letter.
+VARIANT = os.environ.get("VARIANT", "priority")
 
 
 class Case(World):
@@ -27,7 +29,12 @@
         await self.add_hosts(4)
         self.added, self.dropped = {}, {}
         feed = self.route(*FEED, "buzz")
-        least = self.route(*NEW, "buzz", priority=1000 if self.trouble else 3)
+        if VARIANT == "name":
+            service = "Buzz" if self.trouble else "buzz-2"
+            await self.add_backend(service, ZONES[0], 30.0)
+            least = self.route(*NEW, service)
+        else:
+            least = self.route(*NEW, "buzz", priority=1000 if self.trouble else 3)
         self.configure([feed, self.route(*OLD, "buzz")])
         await self.start_instances()
         end = self.loop.time() + 40
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -14,6 +14,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from net import BACKEND_RETRIES, Backend, ClientHost, Links, Record, Router
 from store import Store
@@ -149,7 +150,7 @@
         self.zone_of = {}
         self.tasks = []
         self.version = 0
-        self.added = 0
+        self.backend_count = 0
         self.flows = {}  # key -> the flow's state as backends and clients saw it
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
             deploy = tomllib.load(f)
@@ -194,8 +195,8 @@
         raise CannotRun("no free loopback network")
 
     async def add_backend(self, service, zone, work_ms):
-        self.added += 1
-        index = self.added
+        self.backend_count += 1
+        index = self.backend_count
         number = self.rng.randrange(1 << 32, 1 << 40)
         backend = Backend(self, number, f"127.{self.net}.3.{index}", PORTS["server"], service, zone, work_ms)
         await backend.start()
@@ -392,17 +393,22 @@
     world.trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
+        errors = []
+        handle = lambda _, context: errors.append(context)  # noqa: E731
+        asyncio.get_running_loop().set_exception_handler(handle)
         try:
             await world.start()
             await asyncio.wait_for(world.play(), seconds)
         finally:
             if hasattr(world, "record"):
                 world.finish()
+        if errors:
+            raise CannotRun(f"a stand-in failed: {errors[0]}")
 
     try:
         asyncio.run(play())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
-        print(f"could not run: {error!r}")
+    except Exception:  # noqa: BLE001, any failure of a stand-in means that the case shows nothing
+        print(f"could not run:\n{traceback.format_exc()}")
         return 2
     counts = " ".join(f"{k}={v}" for k, v in sorted(world.record.counts.items()))
     rules = {}
