--- a/review/1/run.py
+++ b/review/1/run.py
@@ -8,7 +8,7 @@
 from net import Flow  # noqa: E402
 from world import World, ZONES, main  # noqa: E402
 
-FEED = ("198.18.0.1", 8443)
+FEED = ("127.1.0.1", 8443)
 USERS = 500
 PLAY_S = 88.0
 GAP_S = 2.0
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -9,10 +9,10 @@
 from net import Flow  # noqa: E402
 from world import BOUNDS, World, ZONES, main  # noqa: E402
 
-FEED = ("198.18.0.1", 8443)
-OLD = ("198.18.0.2", 9000)
-NEW = ("198.18.0.2", 9001)
-LATER = ("198.18.0.2", 9002)
+FEED = ("127.1.0.1", 8443)
+OLD = ("127.1.0.2", 9000)
+NEW = ("127.1.0.2", 9001)
+LATER = ("127.1.0.2", 9002)
 BOUND_S = BOUNDS["config_apply_ms"] / 1000
 PER_S = 20
 # VARIANT=name: the new route has an ordinary priority, and its service has a capital letter.
