--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -30,6 +30,9 @@
     },
     /// Do nothing: the packet is held until a newer view arrives, which should be read now.
     Wait,
+    /// Do nothing: the packet is held until a peer has told its flow's target, or a short time has
+    /// passed.
+    LookUp,
     /// Drop the packet.
     Drop(DropReason),
 }
@@ -135,6 +138,25 @@
         /// The cause.
         reason: DropReason,
     },
+    /// A flow whose opening this instance did not receive was bound to a target.
+    LookedUp {
+        /// The flow.
+        flow: FlowKey,
+        /// Its target.
+        target: TargetNumber,
+        /// Whether a peer named the target. Otherwise it is the one whose answer the client received
+        /// last.
+        told: bool,
+    },
+    /// Targets that had answered the opening of a flow were told which target it is open at.
+    HalfOpenCorrected {
+        /// The flow.
+        flow: FlowKey,
+        /// The target at which it is open.
+        target: TargetNumber,
+        /// Number of the other targets.
+        others: usize,
+    },
     /// The liveness of a target changed.
     Liveness(LivenessChange),
     /// A target started or stopped failing requests.
--- /dev/null
+++ b/crates/forward/src/flow_message.rs
@@ -0,0 +1,38 @@
+//! Messages by which instances tell each other the target of a single flow.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Cookie, FlowKey, TargetNumber};
+
+/// What an instance asks or tells about a flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FlowMessage {
+    /// The sender has a packet of the flow and does not know its target.
+    Query {
+        /// The flow.
+        flow: FlowKey,
+        /// The cookie of the packet, which names a target that answered an opening of the flow.
+        cookie: Cookie,
+    },
+    /// The flow is open at this target.
+    Binding {
+        /// The flow.
+        flow: FlowKey,
+        /// Its target.
+        target: TargetNumber,
+    },
+}
+
+/// A message about a flow, as sent between instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowDatagram {
+    /// The instance that answers are sent to.
+    pub reply_to: SocketAddrV4,
+    /// Whether the receiver, as the hub of its zone, sends it on to the other instances there, which
+    /// the sender may not know.
+    pub relay: bool,
+    /// The message.
+    pub message: FlowMessage,
+}
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -60,13 +60,39 @@
     pub base: u32,
 }
 
+/// How far a flow has been bound to its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Binding {
+    /// The client has not acknowledged a target's answer to the opening.
+    Opening,
+    /// The flow is open at the target that the client's packets name, but this may be another one that
+    /// answered the opening later.
+    Assumed,
+    /// The target has sent data of the flow, according to this instance or a peer.
+    Confirmed,
+}
+
+/// Half-open connections of a flow at other targets than its own. They repeat their answers to the
+/// opening, with a cookie that the client then takes over.
+#[derive(Debug, Clone)]
+pub struct HalfOpen {
+    /// An opening packet of the flow, as the client sent it.
+    pub packet: Vec<u8>,
+    /// The targets that it was sent to. Invariant: not empty.
+    pub targets: Vec<TargetNumber>,
+}
+
 /// A flow's entry in the table.
 #[derive(Debug, Clone)]
 pub struct Flow {
     /// Its target; while the flow is being opened, the one tried last.
     pub target: TargetNumber,
-    /// Whether the client has acknowledged the target's answer to the opening.
-    pub open: bool,
+    /// How far it has been bound to its target.
+    pub binding: Binding,
+    /// Whether another instance may have sent openings of the flow to further targets.
+    pub opened_elsewhere: bool,
+    /// Connections that the opening left at other targets, if this instance knows of any.
+    pub half_open: Option<Box<HalfOpen>>,
     /// Sequence number of the opening packet; 0 if this instance did not receive it.
     pub first_sequence: u32,
     /// End of the data that the client has sent.
@@ -92,7 +118,9 @@
     pub fn opening(target: TargetNumber, segment: &Segment, now: Millis) -> Self {
         Self {
             target,
-            open: false,
+            binding: Binding::Opening,
+            opened_elsewhere: false,
+            half_open: None,
             first_sequence: segment.sequence,
             sent: segment.sequence,
             acknowledged: 0,
@@ -109,7 +137,9 @@
     pub fn adopted(target: TargetNumber, segment: &Segment, now: Millis) -> Self {
         Self {
             target,
-            open: true,
+            binding: Binding::Assumed,
+            opened_elsewhere: true,
+            half_open: None,
             first_sequence: 0,
             sent: segment.sequence,
             acknowledged: segment.acknowledged,
@@ -122,6 +152,16 @@
         }
     }
 
+    /// Returns whether the client has acknowledged a target's answer to the opening.
+    pub fn is_open(&self) -> bool {
+        self.binding != Binding::Opening
+    }
+
+    /// Returns whether its target is known for certain.
+    pub fn is_confirmed(&self) -> bool {
+        self.binding == Binding::Confirmed
+    }
+
     /// Returns whether its request counts as load of its target.
     pub fn is_running(&self) -> bool {
         self.request.is_some_and(|r| r.counted)
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -3,6 +3,7 @@
 
 mod admit;
 mod answers;
+mod binding;
 mod established;
 mod open;
 mod reports;
@@ -21,12 +22,13 @@
 use crate::held::HeldPackets;
 use crate::liveness::LivenessTracker;
 use crate::load::Loads;
+use crate::lookup::{Lookups, UncertainPacket};
 use crate::opening::Openings;
 use crate::place::{Choice, Placement};
 use crate::view::View;
 use crate::{
-    Action, DropReason, DueAction, Event, FlowKey, Forward, ResetReason, Route, Segment,
-    SegmentKind, TargetNumber,
+    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, ResetReason,
+    Route, Segment, SegmentKind, TargetNumber,
 };
 pub use reports::Gauges;
 
@@ -46,6 +48,13 @@
     held: HeldPackets,
     /// Generation of the view for which held packets were last retried.
     held_generation: u64,
+    lookups: Lookups,
+    /// Packets of ended lookups, to be handled now.
+    released: Vec<UncertainPacket>,
+    /// Openings to be sent to targets that do not know where their flows are open.
+    corrections: Vec<DueAction>,
+    /// Messages for peers. Invariant: limited in number.
+    messages: Vec<FlowMessage>,
     liveness: LivenessTracker,
     health: Health,
     /// Targets that have become lost and whose waiting requests have not been reset yet.
@@ -70,6 +79,10 @@
             openings: Openings::default(),
             held: HeldPackets::default(),
             held_generation: 0,
+            lookups: Lookups::default(),
+            released: Vec::new(),
+            corrections: Vec::new(),
+            messages: Vec::new(),
             liveness: LivenessTracker::default(),
             health: Health::default(),
             newly_lost: Vec::new(),
@@ -94,7 +107,7 @@
         let decision = match segment.kind {
             SegmentKind::Forged => Err(DropReason::Forged),
             SegmentKind::Open { .. } => self.open(segment, packet, now),
-            _ => self.handle_established(segment, now),
+            _ => self.handle_established(segment, packet, now),
         };
         decision.unwrap_or_else(|reason| match reason {
             DropReason::UnknownTarget | DropReason::NoRoutes
@@ -106,17 +119,20 @@
         })
     }
 
-    /// Returns when [`Self::take_due`] should be called next for an opening packet.
+    /// Returns when [`Self::take_due`] should be called next for an opening packet or a lookup.
     pub fn next_due(&mut self) -> Option<Millis> {
-        self.openings.next_due()
+        let dues = [self.openings.next_due(), self.lookups.next_due()];
+        dues.into_iter().flatten().min()
     }
 
-    /// Returns the actions that are due now: for packets held until a newer view arrived, for
-    /// opening packets whose target did not answer in time, and for flows that wait for a lost
-    /// target.
+    /// Returns the actions that are due now: for packets held until a newer view arrived or their
+    /// flow's target was looked up, for opening packets whose target did not answer in time, for
+    /// targets that do not know where a flow is open, and for flows that wait for a lost target.
     pub fn take_due(&mut self, now: Millis) -> Vec<DueAction> {
         let mut due = self.release_held(now);
+        self.release_looked_up(&mut due, now);
         self.replace_unresponsive(&mut due, now);
+        due.append(&mut self.corrections);
         self.reset_waiting(&mut due, now);
         self.classify_overdue_answers(now);
         due
@@ -199,12 +215,22 @@
         placement.choose(service, tried, &mut self.rng)
     }
 
+    /// Forwards a packet of an open flow.
     fn forward_to(&self, target: TargetNumber) -> Result<Forward, DropReason> {
+        self.forward_with(target, target.cookie())
+    }
+
+    /// Forwards a packet that opens a flow.
+    fn open_at(&self, target: TargetNumber) -> Result<Forward, DropReason> {
+        self.forward_with(target, target.opening_cookie())
+    }
+
+    fn forward_with(&self, target: TargetNumber, cookie: Cookie) -> Result<Forward, DropReason> {
         let entry = self.view.get(target).ok_or(DropReason::UnknownTarget)?;
         Ok(Forward {
             address: entry.target.address,
             target,
-            cookie: target.cookie(),
+            cookie,
         })
     }
 
@@ -245,7 +271,7 @@
             self.admission.end(admitted.load);
         }
         self.loads
-            .close(flow.target, !flow.open, flow.is_running(), now);
+            .close(flow.target, !flow.is_open(), flow.is_running(), now);
     }
 
     fn record_placement(
@@ -278,3 +304,9 @@
     let route = view.routes().find(key.service)?;
     Some((route, route.service(key)?))
 }
+
+/// Returns whether a position in a wrapping stream is after another one.
+const fn is_after(position: u32, other: u32) -> bool {
+    let distance = position.wrapping_sub(other);
+    distance != 0 && distance < 1 << 31
+}
--- /dev/null
+++ b/crates/forward/src/forwarder/binding.rs
@@ -0,0 +1,330 @@
+//! Binds flows to their targets.
+//!
+//! An opening may be answered by several targets, if the first one seemed not to answer. The flow is
+//! open at the one whose answer the client accepted, but both ends repeat the last cookie that they
+//! received, and the other targets repeat their answers for seconds. So a cookie decides only if a
+//! target can have written it for an open flow, and the targets that were tried in vain are told
+//! where the flow is open.
+
+use tanager_core::Millis;
+
+use super::Forwarder;
+use crate::flows::{Binding, Flow, HalfOpen};
+use crate::lookup::Admission;
+use crate::view::Evidence;
+use crate::{
+    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, Segment,
+    SegmentKind, TargetNumber, TargetState,
+};
+
+/// Maximum number of messages to peers between two calls of [`Forwarder::take_messages`].
+const MESSAGE_LIMIT: usize = 256;
+
+/// Whether a packet of a flow can be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Bound {
+    /// The flow is bound to a target.
+    Yes,
+    /// The packet is held until a peer has told the flow's target.
+    LookingUp,
+}
+
+impl Forwarder {
+    /// Returns the messages for peers since the last call.
+    pub fn take_messages(&mut self) -> Vec<FlowMessage> {
+        std::mem::take(&mut self.messages)
+    }
+
+    /// Returns whether there are messages for peers.
+    #[must_use]
+    pub const fn has_messages(&self) -> bool {
+        !self.messages.is_empty()
+    }
+
+    /// Handles a message of a peer. Returns the answer, if there is one. Packets that it releases are
+    /// returned by the next call of [`Forwarder::take_due`].
+    pub fn handle_message(&mut self, message: FlowMessage, now: Millis) -> Option<FlowMessage> {
+        match message {
+            FlowMessage::Query { flow, cookie } => {
+                let target = self.answer_query(&flow, cookie)?;
+                Some(FlowMessage::Binding { flow, target })
+            }
+            FlowMessage::Binding { flow, target } => {
+                self.apply_binding(&flow, target, now);
+                None
+            }
+        }
+    }
+
+    /// Returns the target of a flow if this instance knows it. The client of a flow that is still
+    /// being opened here continues through the instance that asks.
+    fn answer_query(&mut self, key: &FlowKey, cookie: Cookie) -> Option<TargetNumber> {
+        let flow = self.flows.get(key).filter(|f| !f.finished)?;
+        if flow.is_open() {
+            return Some(flow.target);
+        }
+        self.openings.stop_trying(key);
+        let named = self.view.find_evidence(cookie)?.target();
+        let opening = self.openings.get(key)?;
+        (opening.tried == [named]).then_some(named)
+    }
+
+    /// Applies what a peer tells about a flow's target.
+    fn apply_binding(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
+        if self.view.get(target).is_none() {
+            return;
+        }
+        if let Some(lookup) = self.lookups.take(key) {
+            if let Some(first) = lookup.packets.first() {
+                self.bind_to(&first.segment, target, true, now);
+                self.record_lookup(*key, target, true);
+            }
+            self.released.extend(lookup.packets);
+            return;
+        }
+        let Some(flow) = self.flows.get(key) else {
+            return;
+        };
+        if flow.is_confirmed() && flow.target != target {
+            return;
+        }
+        if !flow.is_confirmed() {
+            self.rebind(key, target, now);
+        }
+        if let Some(flow) = self.flows.get_mut(key) {
+            flow.binding = Binding::Confirmed;
+        }
+        self.correct_half_open(key);
+    }
+
+    /// Binds the flow of a packet to its target unless it is bound.
+    pub(super) fn bind(
+        &mut self,
+        segment: &Segment,
+        packet: &[u8],
+        now: Millis,
+    ) -> Result<Bound, DropReason> {
+        let key = segment.flow;
+        let flow = self.flows.get(&key);
+        if flow.is_some_and(Flow::is_open) {
+            self.check_evidence(segment, now);
+            return Ok(Bound::Yes);
+        }
+        let Some(evidence) = self.view.find_evidence(segment.cookie) else {
+            let Some(flow) = flow else {
+                return Err(match segment.cookie {
+                    Cookie::NONE => DropReason::NoCookie,
+                    _ => DropReason::UnknownTarget,
+                });
+            };
+            let target = flow.target;
+            self.bind_to(segment, target, false, now);
+            return Ok(Bound::Yes);
+        };
+        let follows_opening =
+            flow.is_some_and(|f| segment.sequence == f.first_sequence.wrapping_add(1));
+        let uncertain = matches!(evidence, Evidence::Opening(_)) && !follows_opening;
+        if uncertain && self.look_up(segment, packet, evidence.target(), now) {
+            return Ok(Bound::LookingUp);
+        }
+        let confirmed = matches!(evidence, Evidence::Open(_));
+        self.bind_to(segment, evidence.target(), confirmed, now);
+        Ok(Bound::Yes)
+    }
+
+    /// Binds a flow to a target on a packet that follows the opening.
+    fn bind_to(&mut self, segment: &Segment, target: TargetNumber, confirmed: bool, now: Millis) {
+        let key = segment.flow;
+        if self.flows.get(&key).is_none() {
+            let mut flow = Flow::adopted(target, segment, now);
+            if confirmed {
+                flow.binding = Binding::Confirmed;
+            }
+            flow.opened_elsewhere = !confirmed;
+            if self.flows.insert(key, flow) {
+                self.loads.adopt(target, now);
+            }
+            return;
+        }
+        self.rebind(&key, target, now);
+        if let Some(flow) = self.flows.get_mut(&key) {
+            flow.acknowledged = segment.acknowledged;
+        }
+        if confirmed {
+            self.confirm(&key);
+        }
+        if segment.kind != SegmentKind::Abort {
+            self.liveness.record_response(target, now);
+        }
+    }
+
+    /// Changes the target of a flow in the table, and treats the flow as open.
+    fn rebind(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        if target != flow.target {
+            let (opening, running) = (!flow.is_open(), flow.is_running());
+            self.loads.close(flow.target, opening, running, now);
+            if opening {
+                self.loads.open(target, now);
+            } else {
+                self.loads.adopt(target, now);
+            }
+            if running {
+                self.loads.start_request(target, now);
+            }
+            flow.target = target;
+        }
+        if flow.is_open() {
+            return;
+        }
+        flow.binding = Binding::Assumed;
+        self.loads.opened(target, now);
+        if let Some(opening) = self.openings.record_answer(key, target, now) {
+            flow.opened_elsewhere = !opening.tried.contains(&target);
+            let mut targets = opening.tried;
+            targets.retain(|tried| *tried != target);
+            flow.half_open = (!targets.is_empty()).then(|| {
+                let packet = opening.packet;
+                Box::new(HalfOpen { packet, targets })
+            });
+        }
+    }
+
+    /// Compares the cookie of a packet with the target that its open flow is bound to.
+    fn check_evidence(&mut self, segment: &Segment, now: Millis) {
+        let key = segment.flow;
+        let Some(flow) = self.flows.get(&key) else {
+            return;
+        };
+        if segment.cookie == flow.target.cookie() {
+            if !flow.is_confirmed() && super::is_after(segment.acknowledged, flow.acknowledged) {
+                self.confirm(&key);
+            }
+            return;
+        }
+        let Some(evidence) = self.view.find_evidence(segment.cookie) else {
+            return;
+        };
+        let (target, confirmed) = (flow.target, flow.is_confirmed());
+        match evidence {
+            Evidence::Open(named) if !confirmed => {
+                self.rebind(&key, named, now);
+                self.confirm(&key);
+            }
+            // The client has received the answer of a target that does not know where the flow is
+            // open.
+            Evidence::Opening(named) if confirmed && named != target => self.correct(&key),
+            Evidence::Open(_) | Evidence::Opening(_) => {}
+        }
+    }
+
+    /// Records that the target of an open flow has sent data of the flow.
+    fn confirm(&mut self, key: &FlowKey) {
+        let Some(flow) = self.flows.get_mut(key) else {
+            return;
+        };
+        flow.binding = Binding::Confirmed;
+        if flow.opened_elsewhere || flow.half_open.is_some() {
+            self.correct(key);
+        }
+    }
+
+    /// Tells the targets that were tried in vain for a flow where it is open, or lets the instance do
+    /// so that tried them.
+    fn correct(&mut self, key: &FlowKey) {
+        let Some(flow) = self.flows.get(key) else {
+            return;
+        };
+        let target = flow.target;
+        if flow.opened_elsewhere || flow.half_open.is_none() {
+            self.send_message(FlowMessage::Binding { flow: *key, target });
+        }
+        self.correct_half_open(key);
+    }
+
+    /// Sends the opening of a flow, with the cookie of its target, to the other targets that were
+    /// tried: they repeat the last cookie that they received. Targets that are leaving are left out,
+    /// since they must not receive an opening late.
+    fn correct_half_open(&mut self, key: &FlowKey) {
+        let Some(flow) = self.flows.get(key) else {
+            return;
+        };
+        let Some(half_open) = &flow.half_open else {
+            return;
+        };
+        let target = flow.target;
+        let entries = half_open.targets.iter().filter_map(|n| self.view.get(*n));
+        let usable =
+            entries.filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready);
+        let corrections = usable.map(|entry| DueAction {
+            flow: *key,
+            action: Action::Forward(Forward {
+                address: entry.target.address,
+                target: entry.target.number,
+                cookie: target.cookie(),
+            }),
+            packet: half_open.packet.clone(),
+        });
+        let before = self.corrections.len();
+        self.corrections.extend(corrections);
+        let event = Event::HalfOpenCorrected {
+            flow: *key,
+            target,
+            others: self.corrections.len() - before,
+        };
+        self.record_event(event);
+    }
+
+    /// Holds a packet and asks peers for the target of its flow. Returns `false` if too many packets
+    /// are held.
+    fn look_up(
+        &mut self,
+        segment: &Segment,
+        packet: &[u8],
+        assumed: TargetNumber,
+        now: Millis,
+    ) -> bool {
+        let admission = self.lookups.push(segment, packet, assumed, now);
+        if admission == Admission::Started {
+            self.send_message(FlowMessage::Query {
+                flow: segment.flow,
+                cookie: segment.cookie,
+            });
+        }
+        admission != Admission::Refused
+    }
+
+    /// Handles the packets of ended lookups.
+    pub(super) fn release_looked_up(&mut self, due: &mut Vec<DueAction>, now: Millis) {
+        while let Some(lookup) = self.lookups.take_due(now) {
+            let first = lookup.packets.first().map(|p| p.segment);
+            if let Some(first) = first
+                && !self.flows.get(&first.flow).is_some_and(Flow::is_open)
+            {
+                self.bind_to(&first, lookup.assumed, false, now);
+                self.record_lookup(first.flow, lookup.assumed, false);
+            }
+            self.released.extend(lookup.packets);
+        }
+        for held in std::mem::take(&mut self.released) {
+            let action = self.handle_packet(&held.segment, &held.packet, now);
+            due.push(DueAction {
+                flow: held.segment.flow,
+                action,
+                packet: held.packet,
+            });
+        }
+    }
+
+    fn record_lookup(&mut self, flow: FlowKey, target: TargetNumber, told: bool) {
+        self.record_event(Event::LookedUp { flow, target, told });
+    }
+
+    fn send_message(&mut self, message: FlowMessage) {
+        if self.messages.len() < MESSAGE_LIMIT {
+            self.messages.push(message);
+        }
+    }
+}
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -4,9 +4,10 @@
 
 use tanager_core::Millis;
 
-use super::{EVENT_LIMIT, Forwarder};
-use crate::flows::{Flow, Request, Shed};
-use crate::{Action, Cookie, DropReason, FlowKey, Segment, SegmentKind, TargetNumber};
+use super::binding::Bound;
+use super::{EVENT_LIMIT, Forwarder, is_after};
+use crate::flows::{Request, Shed};
+use crate::{Action, DropReason, FlowKey, Segment, SegmentKind, TargetNumber};
 
 /// Age of a request from which repeated data counts as a retransmission rather than as reordered.
 /// Clients retransmit after 200 ms.
@@ -20,16 +21,17 @@
     pub(super) fn handle_established(
         &mut self,
         segment: &Segment,
+        packet: &[u8],
         now: Millis,
     ) -> Result<Action, DropReason> {
         let key = segment.flow;
-        if !self.flows.get(&key).is_some_and(|f| f.open) {
-            self.bind(segment, now)?;
+        if self.bind(segment, packet, now)? == Bound::LookingUp {
+            return Ok(Action::LookUp);
         }
         let Some(target) = self.flows.get(&key).map(|f| f.target) else {
             // The flow table is full, so only the cookie identifies the target.
-            return match self.view.find_by_cookie(segment.cookie) {
-                Some(entry) => self.forward_to(entry.target.number).map(Action::Forward),
+            return match self.view.find_evidence(segment.cookie) {
+                Some(evidence) => self.forward_to(evidence.target()).map(Action::Forward),
                 None => Err(DropReason::UnknownTarget),
             };
         };
@@ -60,42 +62,6 @@
         self.forward_to(target).map(Action::Forward)
     }
 
-    /// Binds a flow to its target on the first packet after the opening.
-    fn bind(&mut self, segment: &Segment, now: Millis) -> Result<(), DropReason> {
-        let key = segment.flow;
-        let named = self
-            .view
-            .find_by_cookie(segment.cookie)
-            .map(|e| e.target.number);
-        let Some(flow) = self.flows.get_mut(&key) else {
-            let target = match (segment.cookie, named) {
-                (Cookie::NONE, _) => return Err(DropReason::NoCookie),
-                (_, None) => return Err(DropReason::UnknownTarget),
-                (_, Some(target)) => target,
-            };
-            if self.flows.insert(key, Flow::adopted(target, segment, now)) {
-                self.loads.adopt(target, now);
-            }
-            return Ok(());
-        };
-        // The cookie names the target whose answer the client accepted, which may be one that was
-        // tried earlier.
-        let target = named.unwrap_or(flow.target);
-        if target != flow.target {
-            self.loads.close(flow.target, true, false, now);
-            self.loads.open(target, now);
-            flow.target = target;
-        }
-        flow.open = true;
-        flow.acknowledged = segment.acknowledged;
-        self.loads.opened(target, now);
-        self.openings.record_answer(&key, target, now);
-        if segment.kind != SegmentKind::Abort {
-            self.liveness.record_response(target, now);
-        }
-        Ok(())
-    }
-
     /// Returns whether a packet begins a request: it has new data while no answer is outstanding.
     fn is_new_request(&self, segment: &Segment) -> bool {
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
@@ -193,9 +159,3 @@
         }
     }
 }
-
-/// Returns whether a position in a wrapping stream is after another one.
-const fn is_after(position: u32, other: u32) -> bool {
-    let distance = position.wrapping_sub(other);
-    distance != 0 && distance < 1 << 31
-}
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -42,7 +42,7 @@
             self.start_counting(&key, now);
         }
         self.record_placement(key, service, choice, 0);
-        self.forward_to(choice.target).map(Action::Forward)
+        self.open_at(choice.target).map(Action::Forward)
     }
 
     /// Handles the retransmission of an opening packet, if its flow is in the table.
@@ -58,16 +58,16 @@
         }
         flow.last_seen = now;
         let target = flow.target;
-        if flow.open {
+        if flow.is_open() {
             return Some(self.forward_to(target));
         }
         self.openings.record_retransmission(&key);
         if self.openings.get(&key).is_some_and(|o| now < o.due) {
-            return Some(self.forward_to(target));
+            return Some(self.open_at(target));
         }
         self.liveness.record_retransmission(target, key, now);
         let replaced = self.replace(&key, now);
-        Some(replaced.map_or_else(|| self.forward_to(target), Ok))
+        Some(replaced.map_or_else(|| self.open_at(target), Ok))
     }
 
     /// Places a flow that is being opened on another target.
@@ -82,7 +82,7 @@
         self.openings.retry(*key, choice.target, now);
         let attempt = u8::try_from(tried.len()).unwrap_or(u8::MAX);
         self.record_placement(*key, service, choice, attempt);
-        self.forward_to(choice.target).ok()
+        self.open_at(choice.target).ok()
     }
 
     /// Records that a flow's target did not answer the opening in time.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -6,17 +6,21 @@
 //!
 //! Targets answer clients directly, so an instance sees one direction of a flow only. The client
 //! repeats a 32-bit [`Cookie`] that names the flow's target, so any instance can forward any packet
-//! of an open flow. All other state per flow only improves decisions.
+//! of an open flow. Until the target has sent data, the cookie only names a target that answered the
+//! opening; an instance that did not receive the opening then asks its peers. All other state per
+//! flow only improves decisions.
 
 mod action;
 mod admission;
 mod beacon;
+mod flow_message;
 mod flows;
 mod forwarder;
 mod health;
 mod held;
 mod liveness;
 mod load;
+mod lookup;
 mod membership;
 mod opening;
 mod place;
@@ -29,6 +33,7 @@
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
 pub use admission::LimitChange;
 pub use beacon::{Beacon, LoadReport, MemberReport};
+pub use flow_message::{FlowDatagram, FlowMessage};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
 pub use health::{HealthChange, Tally};
@@ -39,4 +44,4 @@
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
 pub use target::{Cookie, Target, TargetNumber, TargetState};
-pub use view::{Change, Delta, TargetEntry, UpdateEffect, View};
+pub use view::{Change, Delta, Evidence, TargetEntry, UpdateEffect, View};
--- /dev/null
+++ b/crates/forward/src/lookup.rs
@@ -0,0 +1,108 @@
+//! Packets of flows whose target is uncertain, held while peers are asked for it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tanager_core::{FastMap, Millis};
+
+use crate::{FlowKey, Segment, TargetNumber};
+
+/// Time for which packets are held. Several round trips between nearby zones, and well below the
+/// 200 ms after which clients retransmit.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
+/// Maximum number of lookups in progress.
+const MAX_LOOKUPS: usize = 512;
+/// Maximum number of packets held for one flow: the window of a client.
+const MAX_PACKETS: usize = 16;
+
+/// A packet held for a lookup.
+#[derive(Debug, Clone)]
+pub struct UncertainPacket {
+    pub segment: Segment,
+    /// The packet as the client sent it.
+    pub packet: Vec<u8>,
+}
+
+/// A flow whose target is looked up.
+#[derive(Debug, Clone)]
+pub struct Lookup {
+    /// The target to which the flow is bound if no peer knows better.
+    pub assumed: TargetNumber,
+    /// Invariant: one to [`MAX_PACKETS`] packets.
+    pub packets: Vec<UncertainPacket>,
+}
+
+/// What happened to a packet of a flow whose target is uncertain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is held, and peers have to be asked.
+    Started,
+    /// It is held or, as one too many, dropped; peers have been asked before.
+    Joined,
+    /// Too many lookups are in progress.
+    Refused,
+}
+
+/// The lookups in progress.
+#[derive(Debug, Default)]
+pub struct Lookups {
+    /// Invariant: at most [`MAX_LOOKUPS`] lookups.
+    pending: FastMap<FlowKey, Lookup>,
+    /// When each lookup times out, oldest first. May contain lookups that have ended.
+    queue: VecDeque<(Millis, FlowKey)>,
+}
+
+impl Lookups {
+    /// Holds a packet of a flow.
+    pub fn push(
+        &mut self,
+        segment: &Segment,
+        packet: &[u8],
+        assumed: TargetNumber,
+        now: Millis,
+    ) -> Admission {
+        let held = UncertainPacket {
+            segment: *segment,
+            packet: packet.to_vec(),
+        };
+        if let Some(lookup) = self.pending.get_mut(&segment.flow) {
+            if lookup.packets.len() < MAX_PACKETS {
+                lookup.packets.push(held);
+            }
+            return Admission::Joined;
+        }
+        if self.pending.len() >= MAX_LOOKUPS {
+            return Admission::Refused;
+        }
+        let packets = vec![held];
+        self.pending
+            .insert(segment.flow, Lookup { assumed, packets });
+        self.queue.push_back((now + LOOKUP_TIMEOUT, segment.flow));
+        Admission::Started
+    }
+
+    /// Ends the lookup of a flow, if one is in progress.
+    pub fn take(&mut self, flow: &FlowKey) -> Option<Lookup> {
+        self.pending.remove(flow)
+    }
+
+    /// Returns when the next lookup times out.
+    pub fn next_due(&mut self) -> Option<Millis> {
+        while let Some((due, flow)) = self.queue.front() {
+            if self.pending.contains_key(flow) {
+                return Some(*due);
+            }
+            self.queue.pop_front();
+        }
+        None
+    }
+
+    /// Ends the next lookup that has timed out.
+    pub fn take_due(&mut self, now: Millis) -> Option<Lookup> {
+        if self.next_due()? > now {
+            return None;
+        }
+        let (_, flow) = self.queue.pop_front()?;
+        self.pending.remove(&flow)
+    }
+}
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -113,6 +113,12 @@
         self.seeds = seeds;
     }
 
+    /// Returns the address at which this instance receives beacons.
+    #[must_use]
+    pub const fn own_address(&self) -> SocketAddrV4 {
+        self.own.address
+    }
+
     /// Sets whether this instance can read the store.
     pub const fn set_store_reachable(&mut self, store_reachable: bool) {
         self.store_reachable = store_reachable;
--- a/crates/forward/src/membership/outgoing.rs
+++ b/crates/forward/src/membership/outgoing.rs
@@ -12,6 +12,9 @@
 const FOREIGN_MEMBER_LIMIT: usize = 2;
 /// Members of the local zone that a beacon lists at most. The highest ranked become hub next.
 const MEMBER_LIMIT: usize = 16;
+/// Maximum number of instances to which an instance itself sends a message about a flow. The hub
+/// relays it to the rest of the zone.
+const FLOW_PEER_LIMIT: usize = 32;
 /// Interval between beacons to a seed. They also reconnect the fleet after a network partition.
 const SEED_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -44,6 +47,30 @@
         recipients
     }
 
+    /// Returns the receivers of a message about a flow: the hub of the zone, if there is another one,
+    /// and all other known instances, first those of the zone. Instances that are stopping or silent
+    /// are among them, since they may be the only ones that know the flow.
+    #[must_use]
+    pub fn flow_peers(&self, now: Millis) -> (Option<SocketAddrV4>, Vec<SocketAddrV4>) {
+        let hub = self.preferred_hub(self.own.zone, now);
+        let others = self.members.iter().filter(|(a, _)| Some(**a) != hub);
+        let mut others: Vec<_> = others
+            .map(|(address, m)| (m.zone != self.own.zone, *address))
+            .collect();
+        others.sort_unstable();
+        others.truncate(FLOW_PEER_LIMIT);
+        let others = others.into_iter().map(|(_, address)| address);
+        (hub, others.collect())
+    }
+
+    /// Returns the instances of the zone, apart from one, to which a hub relays that one's message.
+    #[must_use]
+    pub fn zone_peers(&self, except: SocketAddrV4) -> Vec<SocketAddrV4> {
+        let zone = self.members.iter().filter(|(_, m)| m.zone == self.own.zone);
+        let addresses = zone.map(|(address, _)| *address);
+        addresses.filter(|a| *a != except).collect()
+    }
+
     fn hub_recipients(&self, now: Millis) -> Vec<SocketAddrV4> {
         let own = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
         let mut recipients: Vec<_> = own.map(|(address, _)| *address).collect();
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -38,6 +38,8 @@
     pub due: Millis,
     /// Whether the client has retransmitted the packet.
     retransmitted: bool,
+    /// Whether the client continues through another instance, so that no further target is tried.
+    continued_elsewhere: bool,
 }
 
 /// Estimate of the duration of openings, from the client's first packet to its next one.
@@ -96,6 +98,7 @@
             started: now,
             due,
             retransmitted: false,
+            continued_elsewhere: false,
         };
         self.pending.insert(flow, opening);
         self.queue.push_back((due, flow));
@@ -118,19 +121,30 @@
         }
     }
 
-    /// Removes an opening that a target has answered, and updates the duration estimate. An opening
-    /// that was retransmitted or answered by a later target is left out of the estimate, because
-    /// the answer may belong to another copy of the packet.
-    pub fn record_answer(&mut self, flow: &FlowKey, target: TargetNumber, now: Millis) {
-        let Some(opening) = self.pending.remove(flow) else {
-            return;
-        };
+    /// Removes and returns an opening that a target has answered, and updates the duration estimate.
+    /// An opening that was retransmitted or answered by a later target is left out of the estimate,
+    /// because the answer may belong to another copy of the packet.
+    pub fn record_answer(
+        &mut self,
+        flow: &FlowKey,
+        target: TargetNumber,
+        now: Millis,
+    ) -> Option<Opening> {
+        let opening = self.pending.remove(flow)?;
         if opening.tried.first() == Some(&target) && !opening.retransmitted {
             self.opening_time = Some(OpeningTime::observe(
                 self.opening_time,
                 now.since(opening.started),
             ));
         }
+        Some(opening)
+    }
+
+    /// Stops trying further targets for an opening whose client continues through another instance.
+    pub fn stop_trying(&mut self, flow: &FlowKey) {
+        if let Some(opening) = self.pending.get_mut(flow) {
+            opening.continued_elsewhere = true;
+        }
     }
 
     pub fn get(&self, flow: &FlowKey) -> Option<&Opening> {
@@ -159,7 +173,7 @@
             let opening = self.pending.get(&flow)?;
             // A retransmission may have been sent to another target in the meantime, which moves
             // the deadline.
-            if opening.due <= now {
+            if opening.due <= now && !opening.continued_elsewhere {
                 return Some(flow);
             }
         }
--- a/crates/forward/src/segment.rs
+++ b/crates/forward/src/segment.rs
@@ -4,13 +4,15 @@
 use std::hash::{BuildHasher as _, BuildHasherDefault, DefaultHasher};
 use std::net::SocketAddrV4;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Cookie;
 
 /// Address and port of one end of a flow.
 pub type Endpoint = SocketAddrV4;
 
 /// Identifies a flow by the addresses and ports of both ends, as the client uses them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct FlowKey {
     /// The client's end.
     pub client: Endpoint,
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -8,6 +8,9 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::{Error, Incarnation, ServiceName, ZoneName};
 
+/// The bits in which the cookie of an opening differs from that of an open flow.
+const OPENING_BITS: u32 = 0x9e37_79b9;
+
 /// The number that identifies a target to all instances and to the target itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -26,7 +29,7 @@
         self.0
     }
 
-    /// Returns the cookie that the packets of this target's flows carry.
+    /// Returns the cookie that the packets of this target's open flows carry.
     ///
     /// Numbers of up to 32 bits are their own cookie. Larger ones are folded by XOR.
     #[must_use]
@@ -35,6 +38,13 @@
         #[expect(clippy::cast_possible_truncation, reason = "both halves have 32 bits")]
         Cookie((low ^ high) as u32)
     }
+
+    /// Returns the cookie that opening packets to this target carry. A client that repeats it has
+    /// received an answer to an opening last, perhaps not that of its flow's target.
+    #[must_use]
+    pub const fn opening_cookie(self) -> Cookie {
+        Cookie(self.cookie().0 ^ OPENING_BITS)
+    }
 }
 
 impl fmt::Display for TargetNumber {
@@ -53,8 +63,8 @@
     }
 }
 
-/// Identifies a flow's target; both ends repeat it in each packet. Zero means that the flow has no
-/// target yet.
+/// Names a target of a flow; both ends repeat the last one that they received on it. Zero means that
+/// the flow has no target yet.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize,
 )]
@@ -76,6 +86,12 @@
     pub const fn get(self) -> u32 {
         self.0
     }
+
+    /// Returns the cookie of open flows at the target that this cookie of an opening names.
+    #[must_use]
+    pub(crate) const fn of_opening(self) -> Self {
+        Self(self.0 ^ OPENING_BITS)
+    }
 }
 
 impl fmt::Display for Cookie {
--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -44,6 +44,26 @@
     }
 }
 
+/// What the cookie of a packet tells about the target of its flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Evidence {
+    /// The flow is open at this target: it has sent data of the flow.
+    Open(TargetNumber),
+    /// This target answered the opening. If the opening was sent to several targets, the flow may be
+    /// open at another one.
+    Opening(TargetNumber),
+}
+
+impl Evidence {
+    /// Returns the named target.
+    #[must_use]
+    pub const fn target(self) -> TargetNumber {
+        match self {
+            Self::Open(target) | Self::Opening(target) => target,
+        }
+    }
+}
+
 /// This instance's copy of the published targets and routes.
 ///
 /// Each entry keeps the revision at which it was published and is only replaced by a newer one, so
@@ -106,7 +126,18 @@
         self.targets.get(&number)
     }
 
-    /// Returns the target that a cookie names, also if it was recently removed.
+    /// Returns what the cookie of a packet tells about its flow's target, also if the target was
+    /// recently removed.
+    #[must_use]
+    pub fn find_evidence(&self, cookie: Cookie) -> Option<Evidence> {
+        let number = |e: &TargetEntry| e.target.number;
+        let open = self.find_by_cookie(cookie).map(number);
+        let opening = || self.find_by_cookie(cookie.of_opening()).map(number);
+        open.map(Evidence::Open)
+            .or_else(|| opening().map(Evidence::Opening))
+    }
+
+    /// Returns the target that the cookie of an open flow names, also if it was recently removed.
     #[must_use]
     pub fn find_by_cookie(&self, cookie: Cookie) -> Option<&TargetEntry> {
         self.by_cookie
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -117,7 +117,10 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     pub flow: FlowKey,
+    /// The last cookie that the client received.
     pub cookie: Cookie,
+    /// The cookie of the target whose answer to the opening it accepted.
+    open_cookie: Cookie,
     pub sent: u32,
     pub received: u32,
 }
@@ -127,6 +130,7 @@
         Self {
             flow: flow(client_port, port),
             cookie: Cookie::NONE,
+            open_cookie: Cookie::NONE,
             sent: 1_000,
             received: 0,
         }
@@ -151,9 +155,16 @@
         forwarder.handle_packet(&segment, b"opening", now)
     }
 
-    /// Accepts a target's answer to the opening.
+    /// Accepts a target's answer to the opening, which carries the cookie of the opening.
+    pub fn accept_opening(&mut self, target: TargetNumber) {
+        self.accept(target);
+        self.cookie = target.opening_cookie();
+    }
+
+    /// Accepts a target whose data already carries the cookie of the open flow.
     pub fn accept(&mut self, target: TargetNumber) {
         self.cookie = target.cookie();
+        self.open_cookie = target.cookie();
         self.sent += 1;
         self.received = 50_000;
     }
@@ -172,9 +183,18 @@
         forwarder.handle_packet(&segment, b"data", now)
     }
 
+    /// Receives another copy of a target's answer to the opening, with the cookie that the target
+    /// received last.
+    pub fn receive_copy(&mut self, cookie: Cookie) {
+        self.cookie = cookie;
+    }
+
     /// Acknowledges `length` more bytes of answers.
     pub fn acknowledge(&mut self, forwarder: &mut Forwarder, length: u32, now: Millis) -> Action {
         self.received += length;
+        if length > 0 {
+            self.cookie = self.open_cookie;
+        }
         let segment = self.segment(SegmentKind::Data, 0);
         forwarder.handle_packet(&segment, b"data", now)
     }
--- a/crates/forward/tests/far_clients.rs
+++ b/crates/forward/tests/far_clients.rs
@@ -20,7 +20,7 @@
         for wait in (10..time).step_by(10) {
             sent_again += forwarder.take_due(at(now + wait)).len();
         }
-        client.accept(target);
+        client.accept_opening(target);
         client.acknowledge(forwarder, 0, at(now + time));
     }
     sent_again
--- /dev/null
+++ b/crates/forward/tests/half_open.rs
@@ -0,0 +1,226 @@
+//! Openings that several targets answer: the flow is open at one of them, and the others repeat
+//! their answers, whose cookies the client takes over.
+
+mod common;
+
+use common::{Client, FEED_PORT, at, forwarder, seeded_forwarder, sent_to, target};
+use proptest::prelude::*;
+use tanager_core::Millis;
+use tanager_forward::{Action, Cookie, DueAction, FlowMessage, Forwarder, TargetNumber};
+
+const TARGETS: u64 = 4;
+
+/// Returns the targets of openings that are sent, with their cookies.
+fn openings(due: &[DueAction]) -> Vec<(TargetNumber, Cookie)> {
+    let forward = |d: &DueAction| match d.action {
+        Action::Forward(forward) => Some((forward.target, forward.cookie)),
+        _ => None,
+    };
+    due.iter().filter_map(forward).collect()
+}
+
+/// Opens a flow that two targets answer. Returns the client, which accepted the first answer, and
+/// both targets.
+fn open_at_two(forwarder: &mut Forwarder) -> (Client, TargetNumber, TargetNumber) {
+    let mut client = Client::new(1, FEED_PORT);
+    let first = sent_to(client.opening(forwarder, 0, at(0)));
+    let (second, _) = openings(&forwarder.take_due(at(75)))[0];
+    client.accept_opening(first);
+    (client, first, second)
+}
+
+/// Lets a client send a request and acknowledge its answer. Returns the target that got the request.
+fn request(client: &mut Client, forwarder: &mut Forwarder, now: Millis) -> TargetNumber {
+    let target = sent_to(client.send(forwarder, 100, now));
+    client.acknowledge(forwarder, 2_000, now);
+    target
+}
+
+fn another_instance() -> Forwarder {
+    seeded_forwarder((1..=TARGETS).map(|n| target(n, "feeds", "a")), 8)
+}
+
+/// Guards against open flows that move to a target which has only answered their opening: it repeats
+/// its answer, and an instance without a record of the flow followed the cookie of that answer.
+#[test]
+fn targets_tried_in_vain_are_told_where_the_flow_is_open() {
+    let mut forwarder = forwarder(TARGETS);
+    let (mut client, first, second) = open_at_two(&mut forwarder);
+
+    request(&mut client, &mut forwarder, at(100));
+
+    let sent = openings(&forwarder.take_due(at(101)));
+    assert_eq!(sent, [(second, first.cookie())]);
+}
+
+/// Guards against a correction that was lost: the target goes on to repeat a wrong cookie.
+#[test]
+fn a_wrong_cookie_is_corrected_again() {
+    let mut forwarder = forwarder(TARGETS);
+    let (mut client, first, second) = open_at_two(&mut forwarder);
+    request(&mut client, &mut forwarder, at(100));
+    forwarder.take_due(at(101));
+
+    client.receive_copy(second.opening_cookie());
+    let target = request(&mut client, &mut forwarder, at(400));
+
+    assert_eq!(target, first);
+    let sent = openings(&forwarder.take_due(at(401)));
+    assert!(sent.contains(&(second, first.cookie())), "{sent:?}");
+}
+
+/// Guards against telling targets before it is certain which one the flow is open at. One that has
+/// the flow open would take over the wrong cookie.
+#[test]
+fn targets_are_told_only_after_data_of_the_flow() {
+    let mut forwarder = forwarder(TARGETS);
+    let (mut client, ..) = open_at_two(&mut forwarder);
+
+    client.send(&mut forwarder, 100, at(100));
+
+    assert_eq!(openings(&forwarder.take_due(at(101))), []);
+}
+
+/// Guards against guessing the target of a flow whose opening another instance received.
+#[test]
+fn an_instance_without_the_opening_asks_its_peers() {
+    let mut opener = forwarder(TARGETS);
+    let (mut client, first, second) = open_at_two(&mut opener);
+    request(&mut client, &mut opener, at(100));
+    client.receive_copy(second.opening_cookie());
+    let mut other = another_instance();
+
+    let action = client.send(&mut other, 100, at(300));
+
+    assert_eq!(action, Action::LookUp);
+    let queries = other.take_messages();
+    let answer = opener
+        .handle_message(queries[0], at(301))
+        .expect("an answer");
+    other.handle_message(answer, at(302));
+    assert_eq!(
+        openings(&other.take_due(at(302))),
+        [(first, first.cookie())]
+    );
+}
+
+/// Guards against packets that wait forever if no peer knows their flow.
+#[test]
+fn a_lookup_without_an_answer_ends_in_time() {
+    let mut client = Client::new(1, FEED_PORT);
+    let named = TargetNumber::new(2);
+    client.accept_opening(named);
+    let mut other = another_instance();
+
+    client.send(&mut other, 100, at(0));
+    let early = openings(&other.take_due(at(20)));
+    let due = other.next_due();
+    let late = openings(&other.take_due(at(60)));
+
+    assert_eq!(early, []);
+    assert!(due.is_some_and(|due| due <= at(60)), "{due:?}");
+    assert_eq!(late, [(named, named.cookie())]);
+}
+
+/// Guards against openings that are sent to further targets although the client has its answer, and
+/// only continues through another instance.
+#[test]
+fn no_further_target_is_tried_for_a_client_that_continues_elsewhere() {
+    let mut opener = forwarder(TARGETS);
+    let mut client = Client::new(1, FEED_PORT);
+    let first = sent_to(client.opening(&mut opener, 0, at(0)));
+    client.accept_opening(first);
+    let mut other = another_instance();
+    client.send(&mut other, 100, at(10));
+
+    let answer = opener.handle_message(other.take_messages()[0], at(11));
+
+    let flow = client.flow;
+    let target = first;
+    assert_eq!(answer, Some(FlowMessage::Binding { flow, target }));
+    assert_eq!(openings(&opener.take_due(at(400))), []);
+}
+
+/// Guards against targets that are not told because the instance that tried them does not know where
+/// the client's flow is open.
+#[test]
+fn the_instance_with_the_opening_tells_targets_for_another_one() {
+    let mut opener = forwarder(TARGETS);
+    let (mut client, first, second) = open_at_two(&mut opener);
+    let mut other = another_instance();
+    client.send(&mut other, 100, at(100));
+    let answer = opener.handle_message(other.take_messages()[0], at(101));
+    other.take_due(at(160));
+    client.acknowledge(&mut other, 2_000, at(170));
+
+    for message in other.take_messages() {
+        opener.handle_message(message, at(171));
+    }
+
+    assert_eq!(
+        answer, None,
+        "the opener cannot know which answer was accepted"
+    );
+    let sent = openings(&opener.take_due(at(171)));
+    assert_eq!(sent, [(second, first.cookie())]);
+}
+
+/// Guards against queries about unknown or finished flows that are answered by a guess.
+#[test]
+fn only_known_flows_are_answered() {
+    let mut opener = forwarder(TARGETS);
+    let (mut client, first, _) = open_at_two(&mut opener);
+    request(&mut client, &mut opener, at(100));
+    let query = FlowMessage::Query {
+        flow: client.flow,
+        cookie: first.opening_cookie(),
+    };
+
+    let known = opener.handle_message(query, at(110));
+    client.finish(&mut opener, at(120));
+    let finished = opener.handle_message(query, at(130));
+    let unknown = another_instance().handle_message(query, at(130));
+
+    assert!(known.is_some());
+    assert_eq!((finished, unknown), (None, None));
+}
+
+/// What happens to an open flow.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A target that was tried in vain repeats its answer.
+    Repeat,
+    /// All instances are replaced by new ones.
+    Replace,
+    /// The client sends a request, and gets its answer.
+    Request,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![Just(Step::Repeat), Just(Step::Replace), Just(Step::Request)]
+}
+
+proptest! {
+    /// Guards against flows that depend on the memory of an instance: once the client has an answer,
+    /// packets reach the flow's target through any new instance, without any peer that knows it.
+    #[test]
+    fn an_open_flow_outlives_all_instances(steps in prop::collection::vec(step(), 1..40)) {
+        let mut instance = forwarder(TARGETS);
+        let (mut client, first, second) = open_at_two(&mut instance);
+        let mut repeated = second.opening_cookie();
+        let mut now = at(100);
+        request(&mut client, &mut instance, now);
+        for step in steps {
+            now = now + std::time::Duration::from_millis(100);
+            for (number, cookie) in openings(&instance.take_due(now)) {
+                prop_assert_eq!(number, second);
+                repeated = cookie;
+            }
+            match step {
+                Step::Repeat => client.receive_copy(repeated),
+                Step::Replace => instance = another_instance(),
+                Step::Request => prop_assert_eq!(request(&mut client, &mut instance, now), first),
+            }
+        }
+    }
+}
--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -42,7 +42,7 @@
         let readable = tokio::select! {
             readable = handler.socket.readable() => Some(readable),
             () = wait_until(&handler.instance, due) => None,
-            () = handler.instance.view_changed.notified() => None,
+            () = handler.instance.held_released.notified() => None,
         };
         if let Some(Err(error)) = readable {
             slog::warn!(handler.instance.reporter.log, "[forward] cannot receive";
@@ -54,6 +54,9 @@
         if handler.receive(&mut packet) {
             handler.send_due();
         }
+        if handler.instance.forwarder.borrow().has_messages() {
+            handler.instance.messages_queued.notify_one();
+        }
         handler.instance.report();
     }
 }
@@ -120,7 +123,8 @@
             Action::Forward(forward) => self.forward(&forward, packet),
             Action::Reset { sequence } => self.reset(flow, sequence),
             Action::Wait => self.instance.pull_requested.notify_one(),
-            Action::Drop(_) => {}
+            // The lookup's message is sent by the task that exchanges messages with peers.
+            Action::LookUp | Action::Drop(_) => {}
         }
     }
 
--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -31,8 +31,11 @@
     pub pull_requested: Notify,
     /// Notifies the task that sends beacons, after a change that peers need to receive.
     pub beacon_requested: Notify,
-    /// Notifies the task that forwards packets, after a change of the view.
-    pub view_changed: Notify,
+    /// Notifies the task that exchanges messages with peers that the forwarder has some to send.
+    pub messages_queued: Notify,
+    /// Notifies the task that forwards packets, after a change of the view or a peer's message that
+    /// may release held packets.
+    pub held_released: Notify,
     /// Set once the process has to stop.
     leaving: Cell<bool>,
     /// Whether the store answered the last call.
@@ -58,7 +61,8 @@
             reporter,
             pull_requested: Notify::new(),
             beacon_requested: Notify::new(),
-            view_changed: Notify::new(),
+            messages_queued: Notify::new(),
+            held_released: Notify::new(),
             leaving: Cell::new(false),
             store_reachable: Cell::new(true),
             settings,
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod clients;
 mod error;
+mod flow_messages;
 mod http;
 mod instance;
 mod pages;
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -1,4 +1,4 @@
-//! Exchange of beacons with other instances, and reading of views from peers.
+//! Exchange of beacons and messages with other instances, and reading of views from peers.
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -8,8 +8,9 @@
 use slog::{info, warn};
 use tanager_forward::{BEACON_INTERVAL, Beacon, Delta, Role, ViewVersion};
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::flow_messages;
 use crate::http::HttpClient;
 use crate::instance::Instance;
 use crate::{Error, Result};
@@ -26,7 +27,7 @@
 /// Minimum time between two rounds of beacons, so that changes are sent together.
 const ROUND_PAUSE: Duration = Duration::from_millis(30);
 
-/// Sends and receives beacons until the process ends.
+/// Sends and receives beacons and messages about flows until the process ends.
 pub async fn run(socket: UdpSocket, instance: Rc<Instance>) {
     let mut buffer = vec![0; BEACON_LIMIT];
     loop {
@@ -39,33 +40,46 @@
         instance.report();
         instance.reporter.log_suppressed_lines();
         instance.update_gauges();
-        let started = Instant::now();
-        let round = async {
-            loop {
-                tokio::select! {
-                    received = socket.recv_from(&mut buffer) => match received {
-                        Ok((length, _)) => handle_beacon(&buffer[..length], &socket, &instance),
-                        Err(error) => slog::debug!(instance.reporter.log,
-                            "[peer] receive failed"; "error" => %error),
-                    },
-                    () = instance.beacon_requested.notified() => break,
-                }
+        exchange_until_next_round(&socket, &mut buffer, &instance).await;
+    }
+}
+
+/// Receives beacons and exchanges messages about flows until the next round of beacons is due.
+async fn exchange_until_next_round(socket: &UdpSocket, buffer: &mut [u8], instance: &Instance) {
+    let started = Instant::now();
+    let interval = if instance.is_searching() {
+        INITIAL_BEACON_INTERVAL
+    } else {
+        BEACON_INTERVAL
+    };
+    let mut end = started + interval;
+    loop {
+        tokio::select! {
+            received = socket.recv_from(buffer) => match received {
+                Ok((length, _)) => handle_datagram(&buffer[..length], socket, instance),
+                Err(error) => slog::debug!(instance.reporter.log,
+                    "[peer] receive failed"; "error" => %error),
+            },
+            () = instance.messages_queued.notified() => {
+                flow_messages::send_queued(socket, instance);
             }
-        };
-        // The round ends early when a change has to be sent.
-        let interval = if instance.is_searching() {
-            INITIAL_BEACON_INTERVAL
-        } else {
-            BEACON_INTERVAL
-        };
-        drop(timeout_at(started + interval, round).await);
-        let pause = ROUND_PAUSE.saturating_sub(started.elapsed());
-        if !pause.is_zero() {
-            sleep(pause).await;
+            // The round ends early when a change has to be sent.
+            () = instance.beacon_requested.notified() => end = end.min(started + ROUND_PAUSE),
+            () = sleep_until(end) => return,
         }
     }
 }
 
+fn handle_datagram(bytes: &[u8], socket: &UdpSocket, instance: &Instance) {
+    if !flow_messages::is_flow_datagram(bytes) {
+        return handle_beacon(bytes, socket, instance);
+    }
+    match flow_messages::decode(bytes) {
+        Some(datagram) => flow_messages::handle(datagram, socket, instance),
+        None => instance.reporter.counters.beacons_malformed.increment(),
+    }
+}
+
 fn send_beacons(socket: &UdpSocket, instance: &Instance) {
     let role = instance.role();
     let now = instance.now();
@@ -205,7 +219,7 @@
     let now = instance.now();
     let mut forwarder = instance.forwarder.borrow_mut();
     let changed = forwarder.merge(delta, now);
-    instance.view_changed.notify_one();
+    instance.held_released.notify_one();
     let view = forwarder.view();
     info!(instance.reporter.log, "[peer] view read"; "peer" => %peer,
         "revision" => %view.revision(), "before" => %after.revision, "changed" => changed.len(),
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -151,7 +151,7 @@
             });
             let more = page.more;
             apply_publications(&self.instance, page.batch.items, Origin::FullRead);
-            self.instance.view_changed.notify_one();
+            self.instance.held_released.notify_one();
             if more && pages >= PAGES_BEFORE_WAIT && self.wait_for_peer_view().await {
                 return Ok(false);
             }
@@ -263,7 +263,7 @@
                 self.instance.set_store_reachable(true);
                 if changed {
                     self.instance.beacon_requested.notify_one();
-                    self.instance.view_changed.notify_one();
+                    self.instance.held_released.notify_one();
                     sleep(CHANGE_PAUSE).await;
                 }
             }
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -42,6 +42,12 @@
     pub flows_placed: Counter,
     /// Opening packets sent to another target because the first was silent.
     pub openings_replaced: Counter,
+    /// Flows whose target was looked up because this instance did not receive their opening.
+    pub flows_looked_up: Counter,
+    /// Lookups that no peer answered.
+    pub lookups_unanswered: Counter,
+    /// Flows of which several targets had answered the opening, and were told the flow's target.
+    pub half_open_corrected: Counter,
     /// Flows reset by this instance.
     pub flows_reset: Counter,
     /// Openings reset because their service was overloaded.
@@ -62,6 +68,10 @@
     pub beacons_received: Counter,
     /// Beacons that cannot be decoded.
     pub beacons_malformed: Counter,
+    /// Messages about single flows sent to other instances.
+    pub flow_messages_sent: Counter,
+    /// Messages about single flows received from other instances.
+    pub flow_messages_received: Counter,
     /// Log lines left out because there were too many.
     pub log_lines_left_out: Counter,
 }
@@ -289,6 +299,13 @@
                     counters.packets_shed.increment();
                 }
             }
+            Event::LookedUp { told, .. } => {
+                counters.flows_looked_up.increment();
+                if !told {
+                    counters.lookups_unanswered.increment();
+                }
+            }
+            Event::HalfOpenCorrected { .. } => counters.half_open_corrected.increment(),
             Event::Liveness(_) | Event::Health(_) | Event::Limit(_) => {}
         }
     }
@@ -320,6 +337,16 @@
             } => info!(self.log, "[forward] dropped";
                 "flow" => %flow, "cookie" => %cookie, "reason" => %reason,
                 "revision" => %revision, "view_age_ms" => age_ms),
+            Event::LookedUp { flow, target, told } => info!(self.log, "[forward] looked up";
+                "flow" => %flow, "target" => %target, "told" => told,
+                "revision" => %revision, "view_age_ms" => age_ms),
+            Event::HalfOpenCorrected {
+                flow,
+                target,
+                others,
+            } => info!(self.log, "[forward] half-open connections corrected";
+                "flow" => %flow, "target" => %target, "others" => others,
+                "revision" => %revision, "view_age_ms" => age_ms),
             Event::Liveness(change) => info!(self.log, "[forward] target standing";
                 "target" => %change.target, "standing" => %change.liveness,
                 "misses" => change.misses,
--- a/crates/standins/src/model/world/packets.rs
+++ b/crates/standins/src/model/world/packets.rs
@@ -39,7 +39,7 @@
                 self.report.wrong_resets += u64::from(is_reachable);
                 self.send(Event::ReplyAtCaller(id, Reply::Reset));
             }
-            Action::Wait | Action::Drop(_) => {}
+            Action::Wait | Action::LookUp | Action::Drop(_) => {}
         }
     }
 
