Answer queries about a flow's target only with what is known

An answer that was only assumed by the peer also counted as certain.

Change: a flow that is still being opened is only named while no other copy of its opening can exist, and a binding says whether it is confirmed. An assumption is replaced by a later confirmation.

Tests: an_instance_with_a_copy_of_the_opening_claims_no_target, a_confirmation_replaces_an_assumption; tanager-forward passes.

--- a/crates/forward/src/flow_message.rs
+++ b/crates/forward/src/flow_message.rs
@@ -16,12 +16,15 @@
         /// The cookie of the packet, which names a target that answered an opening of the flow.
         cookie: Cookie,
     },
-    /// The flow is open at this target.
+    /// The sender forwards the flow to this target.
     Binding {
         /// The flow.
         flow: FlowKey,
         /// Its target.
         target: TargetNumber,
+        /// Whether the target has sent data of the flow. Otherwise it may be another one that answered
+        /// the opening.
+        confirmed: bool,
     },
 }
 
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -45,38 +45,45 @@
     /// returned by the next call of [`Forwarder::take_due`].
     pub fn handle_message(&mut self, message: FlowMessage, now: Millis) -> Option<FlowMessage> {
         match message {
-            FlowMessage::Query { flow, cookie } => {
-                let target = self.answer_query(&flow, cookie)?;
-                Some(FlowMessage::Binding { flow, target })
-            }
-            FlowMessage::Binding { flow, target } => {
-                self.apply_binding(&flow, target, now);
+            FlowMessage::Query { flow, .. } => self.answer_query(flow, now),
+            FlowMessage::Binding {
+                flow,
+                target,
+                confirmed,
+            } => {
+                self.apply_binding(&flow, target, confirmed, now);
                 None
             }
         }
     }
 
-    /// Returns the target of a flow if this instance knows it. The client of a flow that is still
-    /// being opened here continues through the instance that asks.
-    fn answer_query(&mut self, key: &FlowKey, cookie: Cookie) -> Option<TargetNumber> {
-        let flow = self.flows.get(key).filter(|f| !f.finished)?;
-        if flow.is_open() {
-            return Some(flow.target);
-        }
-        self.openings.stop_trying(key);
-        let named = self.view.find_evidence(cookie)?.target();
-        let opening = self.openings.get(key)?;
-        (opening.tried == [named]).then_some(named)
+    /// Returns what this instance knows of a flow's target. The client of a flow that is still being
+    /// opened here continues through the instance that asks.
+    fn answer_query(&mut self, key: FlowKey, now: Millis) -> Option<FlowMessage> {
+        let flow = self.flows.get(&key).filter(|f| !f.finished)?;
+        let (target, confirmed) = match flow.binding {
+            Binding::Opening => {
+                self.openings.stop_trying(&key);
+                (self.openings.get(&key)?.only_target(now)?, false)
+            }
+            Binding::Assumed => (flow.target, false),
+            Binding::Confirmed => (flow.target, true),
+        };
+        Some(FlowMessage::Binding {
+            flow: key,
+            target,
+            confirmed,
+        })
     }
 
     /// Applies what a peer tells about a flow's target.
-    fn apply_binding(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
+    fn apply_binding(&mut self, key: &FlowKey, target: TargetNumber, confirmed: bool, now: Millis) {
         if self.view.get(target).is_none() {
             return;
         }
         if let Some(lookup) = self.lookups.take(key) {
             if let Some(first) = lookup.packets.first() {
-                self.bind_to(&first.segment, target, true, now);
+                self.bind_to(&first.segment, target, confirmed, now);
                 self.record_lookup(*key, target, true);
             }
             self.released.extend(lookup.packets);
@@ -85,12 +92,11 @@
         let Some(flow) = self.flows.get(key) else {
             return;
         };
-        if flow.is_confirmed() && flow.target != target {
+        let agrees = flow.target == target;
+        if !confirmed || (flow.is_confirmed() && !agrees) {
             return;
         }
-        if !flow.is_confirmed() {
-            self.rebind(key, target, now);
-        }
+        self.rebind(key, target, now);
         if let Some(flow) = self.flows.get_mut(key) {
             flow.binding = Binding::Confirmed;
         }
@@ -239,7 +245,11 @@
         };
         let target = flow.target;
         if flow.opened_elsewhere || flow.half_open.is_none() {
-            self.send_message(FlowMessage::Binding { flow: *key, target });
+            self.send_message(FlowMessage::Binding {
+                flow: *key,
+                target,
+                confirmed: true,
+            });
         }
         self.correct_half_open(key);
     }
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -39,6 +39,9 @@
         if self.flows.insert(key, flow) {
             self.loads.open(choice.target, now);
             self.openings.insert(key, packet, choice.target, now);
+            if segment.is_retransmission() {
+                self.openings.record_retransmission(&key);
+            }
             self.start_counting(&key, now);
         }
         self.record_placement(key, service, choice, 0);
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -13,6 +13,8 @@
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(70);
 /// Maximum time, just below the 200 ms after which clients retransmit an opening packet.
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(190);
+/// Time after which clients retransmit an opening packet, perhaps through another instance.
+const CLIENT_RETRANSMISSION_TIME: Duration = Duration::from_millis(200);
 /// Weight of one opening in the mean time, as for round-trip times in RFC 6298.
 const MEAN_WEIGHT: f64 = 1.0 / 8.0;
 /// Weight of one opening in the mean deviation, as in RFC 6298.
@@ -42,6 +44,17 @@
     continued_elsewhere: bool,
 }
 
+impl Opening {
+    /// Returns the target if no other one, of any instance, can have received the packet.
+    pub fn only_target(&self, now: Millis) -> Option<TargetNumber> {
+        let only_copy = !self.retransmitted && now.since(self.started) < CLIENT_RETRANSMISSION_TIME;
+        match self.tried[..] {
+            [target] if only_copy => Some(target),
+            _ => None,
+        }
+    }
+}
+
 /// Estimate of the duration of openings, from the client's first packet to its next one.
 #[derive(Debug, Clone, Copy)]
 struct OpeningTime {
--- a/crates/forward/src/segment.rs
+++ b/crates/forward/src/segment.rs
@@ -69,3 +69,11 @@
     /// Length of its data in bytes.
     pub length: u16,
 }
+
+impl Segment {
+    /// Returns whether it is a later copy of an opening packet.
+    #[must_use]
+    pub const fn is_retransmission(&self) -> bool {
+        matches!(self.kind, SegmentKind::Open { retransmission } if retransmission > 0)
+    }
+}
