Do not send openings from before a pause to further targets

Cause: an instance that was paused finds openings overdue when it goes on. It sent them to further targets, although their clients had retransmitted them or left since, and held the first targets as suspect.

Change: an opening that is overdue by the clients' retransmission time is left to the client.

Test: openings_from_before_a_pause_are_not_sent_again failed before (one packet sent 2 s late) and passes.

--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -116,7 +116,7 @@
     /// Sends opening packets that were not answered in time to other targets.
     pub(super) fn replace_unresponsive(&mut self, due: &mut Vec<DueAction>, now: Millis) {
         while let Some(key) = self.openings.take_due(now) {
-            let Some(opening) = self.openings.get(&key) else {
+            let Some(opening) = self.openings.get(&key).filter(|o| !o.is_outdated(now)) else {
                 continue;
             };
             let (packet, tries) = (opening.packet.clone(), opening.tried.len());
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -45,6 +45,12 @@
 }
 
 impl Opening {
+    /// Returns whether it should have been sent to another target so long ago that the client has
+    /// retransmitted the packet or left. This happens if the process was paused.
+    pub fn is_outdated(&self, now: Millis) -> bool {
+        now.since(self.due) >= CLIENT_RETRANSMISSION_TIME
+    }
+
     /// Returns the target if no other one, of any instance, can have received the packet.
     pub fn only_target(&self, now: Millis) -> Option<TargetNumber> {
         let only_copy = !self.retransmitted && now.since(self.started) < CLIENT_RETRANSMISSION_TIME;
--- a/crates/forward/tests/abandoned_openings.rs
+++ b/crates/forward/tests/abandoned_openings.rs
@@ -25,3 +25,17 @@
 
     assert_eq!(due.len(), 1, "the unresponsive target is not replaced");
 }
+
+/// Guards against an instance that was paused and then sends old openings to further targets, whose
+/// answers the clients do not expect any more, and suspects the first ones.
+#[test]
+fn openings_from_before_a_pause_are_not_sent_again() {
+    let mut forwarder = forwarder(3);
+    Client::new(1, FEED_PORT).opening(&mut forwarder, 0, at(0));
+
+    let due = forwarder.take_due(at(2_000));
+    let gauges = forwarder.gauges(at(2_000));
+
+    assert!(due.is_empty(), "{due:?}");
+    assert_eq!(gauges.suspect, 0);
+}
