Set no limits of our own on published names and numbers

Cause: the decoder held the platform's values to limits that no page sets: priority in 8 bits, weights in 32 bits, at most 4,096 slots, names of up to 64 lower-case characters. A value beyond them made the whole configuration undecodable, and all later ones with it; in a target's entry it took the target out of use. The sum of weights could overflow. The names of the settings that the platform fills in had the same limits, so an instance would not have started.

Change: names that the platform gives are types of their own, any text but the empty one; names in this project's own documents keep their syntax.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -241,3 +241,66 @@
     /// The name of a region.
     RegionName
 }
+
+macro_rules! published_name {
+    ($(#[doc = $doc:literal])+ $name:ident) => {
+        $(#[doc = $doc])+
+        ///
+        /// Its syntax is up to the users' platform. Invariant: not empty.
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// Returns the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(s: &str) -> Result<Self> {
+                Self::try_from(s.to_owned())
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+
+            fn try_from(s: String) -> Result<Self> {
+                if s.is_empty() {
+                    return Err(Error::malformed(stringify!($name), &s, "expected a name"));
+                }
+                Ok(Self(s))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0
+            }
+        }
+    };
+}
+
+published_name! {
+    /// The name of an entry instance, as the platform gives it.
+    PublishedInstance
+}
+published_name! {
+    /// The name of a service, as the platform publishes it.
+    PublishedService
+}
+published_name! {
+    /// The name of an availability zone, as the platform publishes it.
+    PublishedZone
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,8 +13,8 @@
 pub use code::{ResultCode, RunState};
 pub use error::{Error, Result};
 pub use ids::{
-    FlowId, Generation, Incarnation, InstanceName, OwnerName, RegionName, RequestId, ServiceId,
-    ServiceName, TargetId, TargetName, ZoneName,
+    FlowId, Generation, Incarnation, InstanceName, OwnerName, PublishedInstance, PublishedService,
+    PublishedZone, RegionName, RequestId, ServiceId, ServiceName, TargetId, TargetName, ZoneName,
 };
 pub use invariant::{record_violation, violations};
 pub use quantity::{ByteSize, Rate, parse_duration};
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -2,7 +2,10 @@
 
 use proptest::prelude::*;
 
-use crate::{ByteSize, Rate, RequestId, ResultCode, Revision, ServiceName, parse_duration};
+use crate::{
+    ByteSize, PublishedService, PublishedZone, Rate, RequestId, ResultCode, Revision, ServiceName,
+    parse_duration,
+};
 
 /// Guards against two codes sharing a number, which would make logs ambiguous.
 #[test]
@@ -33,6 +36,16 @@
     }
 }
 
+/// Guards against refusing names that another system publishes, which has a syntax of its own.
+#[test]
+fn published_names_have_any_syntax() {
+    for text in ["Upper", "two words", "Ω/1", &"long".repeat(100)] {
+        let name: PublishedService = text.parse().expect("a name");
+        assert_eq!(name.to_string(), text);
+    }
+    assert!("".parse::<PublishedZone>().is_err());
+}
+
 proptest! {
     /// Guards against a size that changes when its text form is parsed again.
     #[test]
--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::net::SocketAddrV4;
 
-use tanager_core::ServiceName;
+use tanager_core::PublishedService;
 
 use crate::{Cookie, FlowKey, HealthChange, LimitChange, LivenessChange, TargetNumber};
 
@@ -110,7 +110,7 @@
         /// The flow.
         flow: FlowKey,
         /// Its service.
-        service: ServiceName,
+        service: PublishedService,
         /// The chosen target.
         target: TargetNumber,
         /// Its estimated load divided by its slots, with all penalties.
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use tanager_core::{FastMap, Millis, ServiceName};
+use tanager_core::{FastMap, Millis, PublishedService};
 
 use crate::{Kind, Route};
 
@@ -157,7 +157,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitChange {
     /// The service.
-    pub service: ServiceName,
+    pub service: PublishedService,
     /// The limit of requests in flight of this instance; `None` after the overload.
     pub limit: Option<f64>,
     /// Requests in flight of this instance.
@@ -169,7 +169,7 @@
 /// The requests in flight and limits of all services.
 #[derive(Debug, Default)]
 pub struct Admission {
-    services: FastMap<ServiceName, LoadId>,
+    services: FastMap<PublishedService, LoadId>,
     /// Invariant: one entry for each of `services`; entries are never removed, so that a [`LoadId`]
     /// stays valid.
     loads: Vec<ServiceLoad>,
@@ -178,7 +178,7 @@
 impl Admission {
     /// Counts a request or an opening that is sent to a service. Returns where it is counted, since
     /// the service of its route may change before it ends.
-    pub fn start(&mut self, service: &ServiceName) -> LoadId {
+    pub fn start(&mut self, service: &PublishedService) -> LoadId {
         let id = self.find(service).unwrap_or_else(|| {
             let id = LoadId(self.loads.len());
             self.loads.push(ServiceLoad::default());
@@ -195,17 +195,17 @@
         load.running = load.running.saturating_sub(1);
     }
 
-    fn find(&self, service: &ServiceName) -> Option<LoadId> {
+    fn find(&self, service: &PublishedService) -> Option<LoadId> {
         self.services.get(service).copied()
     }
 
-    fn load_mut(&mut self, service: &ServiceName) -> Option<&mut ServiceLoad> {
+    fn load_mut(&mut self, service: &PublishedService) -> Option<&mut ServiceLoad> {
         let id = self.find(service)?;
         self.loads.get_mut(id.0)
     }
 
     /// Records the time that a service took to answer a request.
-    pub fn record_answer(&mut self, service: &ServiceName, route: &Route, time: Duration) {
+    pub fn record_answer(&mut self, service: &PublishedService, route: &Route, time: Duration) {
         if let Some(load) = self.load_mut(service)
             && !route.objective.is_zero()
         {
@@ -220,14 +220,14 @@
     }
 
     /// Records that an answer was an error. Overloaded targets refuse requests that have waited.
-    pub fn record_failure(&mut self, service: &ServiceName) {
+    pub fn record_failure(&mut self, service: &PublishedService) {
         if let Some(load) = self.load_mut(service) {
             load.late += 1;
         }
     }
 
     /// Returns whether a request of a class exceeds the limit of its service.
-    pub fn is_exceeded(&self, service: &ServiceName, class: Class) -> bool {
+    pub fn is_exceeded(&self, service: &PublishedService, class: Class) -> bool {
         let Some(id) = self.find(service) else {
             return false;
         };
@@ -237,7 +237,7 @@
     }
 
     /// Records that a request was shed.
-    pub fn record_shed(&mut self, service: &ServiceName, now: Millis) {
+    pub fn record_shed(&mut self, service: &PublishedService, now: Millis) {
         if let Some(load) = self.load_mut(service) {
             load.shed = now;
         }
@@ -248,7 +248,7 @@
     pub fn update(
         &mut self,
         now: Millis,
-        find_overload: impl Fn(&ServiceName) -> Option<Overload>,
+        find_overload: impl Fn(&PublishedService) -> Option<Overload>,
     ) -> Vec<LimitChange> {
         let mut changed = Vec::new();
         for (service, id) in &self.services {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -14,7 +14,7 @@
 
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
-use tanager_core::{Millis, ServiceName, ZoneName};
+use tanager_core::{Millis, PublishedService, PublishedZone};
 
 use crate::admission::Admission;
 use crate::flows::{Flow, Flows};
@@ -39,7 +39,7 @@
 
 /// Decides what happens to each packet of one instance.
 pub struct Forwarder {
-    zone: ZoneName,
+    zone: PublishedZone,
     view: View,
     /// When the view was last verified to be complete.
     last_verified: Option<Millis>,
@@ -70,7 +70,7 @@
     /// Creates a forwarder for an instance in a zone. The seed determines which targets are sampled
     /// for placement.
     #[must_use]
-    pub fn new(zone: ZoneName, seed: u64) -> Self {
+    pub fn new(zone: PublishedZone, seed: u64) -> Self {
         Self {
             zone,
             view: View::default(),
@@ -194,13 +194,13 @@
         }
     }
 
-    fn service_of(&self, key: &FlowKey) -> Option<ServiceName> {
+    fn service_of(&self, key: &FlowKey) -> Option<PublishedService> {
         route_of(&self.view, key).map(|(_, service)| service.clone())
     }
 
     fn choose(
         &mut self,
-        service: &ServiceName,
+        service: &PublishedService,
         tried: &[TargetNumber],
         now: Millis,
     ) -> Option<Choice> {
@@ -277,7 +277,7 @@
     fn record_placement(
         &mut self,
         flow: FlowKey,
-        service: ServiceName,
+        service: PublishedService,
         choice: Choice,
         attempt: u8,
     ) {
@@ -300,7 +300,7 @@
 
 /// Returns the route of a flow and its service. Borrows only the view, so that a caller can update
 /// the other parts of the forwarder.
-fn route_of<'v>(view: &'v View, key: &FlowKey) -> Option<(&'v Route, &'v ServiceName)> {
+fn route_of<'v>(view: &'v View, key: &FlowKey) -> Option<(&'v Route, &'v PublishedService)> {
     let route = view.routes().find(key.service)?;
     Some((route, route.service(key)?))
 }
--- a/crates/forward/src/forwarder/admit.rs
+++ b/crates/forward/src/forwarder/admit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tanager_core::{Millis, ServiceName};
+use tanager_core::{Millis, PublishedService};
 
 use super::{Forwarder, route_of};
 use crate::admission::{Class, Overload};
@@ -26,7 +26,7 @@
 
     /// Returns the overload of a service if requests wait at more than half of its responsive
     /// targets.
-    fn find_overload(&self, service: &ServiceName, now: Millis) -> Option<Overload> {
+    fn find_overload(&self, service: &PublishedService, now: Millis) -> Option<Overload> {
         let usable = |e: &&TargetEntry| {
             let liveness = self.liveness.liveness(e.target.number, &self.health, now);
             e.target.service == *service
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom as _;
-use tanager_core::{Millis, ServiceName, ZoneName};
+use tanager_core::{Millis, PublishedService, PublishedZone};
 
 use crate::health::{FAILING_RATE, Health};
 use crate::liveness::LivenessTracker;
@@ -45,7 +45,7 @@
 /// Inputs of a placement decision.
 pub struct Placement<'a> {
     /// The local availability zone.
-    pub zone: &'a ZoneName,
+    pub zone: &'a PublishedZone,
     pub view: &'a View,
     pub liveness: &'a LivenessTracker,
     pub health: &'a Health,
@@ -57,7 +57,7 @@
     /// Chooses a target of a service, preferably one that is not in `tried`.
     pub fn choose(
         &self,
-        service: &ServiceName,
+        service: &PublishedService,
         tried: &[TargetNumber],
         rng: &mut StdRng,
     ) -> Option<Choice> {
--- a/crates/forward/src/route.rs
+++ b/crates/forward/src/route.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::{FastMap, ServiceName};
+use tanager_core::{FastMap, PublishedService};
 
 use crate::{FlowKey, StoreRevision};
 
@@ -21,9 +21,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceShare {
     /// The service.
-    pub service: ServiceName,
+    pub service: PublishedService,
     /// Its share, relative to the sum of all weights of the route.
-    pub weight: u32,
+    pub weight: u64,
 }
 
 /// The services for new flows to one published address.
@@ -40,7 +40,7 @@
     /// Desired answer time.
     pub objective: Duration,
     /// Priority when not all requests can be served; 0 is the highest.
-    pub priority: u8,
+    pub priority: u64,
     /// The services that receive its flows. Invariant: not empty.
     pub services: Vec<ServiceShare>,
 }
@@ -48,14 +48,21 @@
 impl Route {
     /// Returns the service of a new flow, which is the same on all instances.
     #[must_use]
-    pub fn service(&self, flow: &FlowKey) -> Option<&ServiceName> {
-        let total: u32 = self.services.iter().map(|s| s.weight).sum();
-        let mut point = flow.distribution_hash().checked_rem(total).unwrap_or(0);
+    pub fn service(&self, flow: &FlowKey) -> Option<&PublishedService> {
+        let total: u128 = self.services.iter().map(|s| u128::from(s.weight)).sum();
+        let hash = u128::from(flow.distribution_hash());
+        let mut point = if total > u128::from(u32::MAX) {
+            // The hash has 32 bits only.
+            (hash * total) >> 32
+        } else {
+            hash.checked_rem(total).unwrap_or(0)
+        };
         for share in &self.services {
-            if point < share.weight {
+            let weight = u128::from(share.weight);
+            if point < weight {
                 return Some(&share.service);
             }
-            point -= share.weight;
+            point -= weight;
         }
         self.services.first().map(|s| &s.service)
     }
--- a/crates/forward/src/target.rs
+++ b/crates/forward/src/target.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::{Error, Incarnation, ServiceName, ZoneName};
+use tanager_core::{Error, Incarnation, PublishedService, PublishedZone};
 
 /// The bits in which the cookie of an opening differs from that of an open flow.
 const OPENING_BITS: u32 = 0x9e37_79b9;
@@ -115,13 +115,13 @@
     /// Its number.
     pub number: TargetNumber,
     /// The service that it runs.
-    pub service: ServiceName,
+    pub service: PublishedService,
     /// Address at which it receives packets. Another target may have used it before.
     pub address: SocketAddrV4,
     /// Its availability zone.
-    pub zone: ZoneName,
+    pub zone: PublishedZone,
     /// Maximum number of concurrent requests. Invariant: at least 1.
-    pub slots: u16,
+    pub slots: u32,
     /// Whether it accepts new flows.
     pub state: TargetState,
     /// Remaining warm-up time at the time of publication; the target is slow until then.
--- a/crates/proxy/src/settings/forwarder.rs
+++ b/crates/proxy/src/settings/forwarder.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
-use tanager_core::{InstanceName, ResultCode, ZoneName};
+use tanager_core::{PublishedInstance, PublishedZone, ResultCode};
 
 use crate::Result;
 use crate::settings::balancer::check_log;
@@ -18,11 +18,11 @@
 #[derive(Debug, Clone)]
 pub struct ForwarderSettings {
     /// Unique name of the instance.
-    pub name: InstanceName,
+    pub name: PublishedInstance,
     /// Its availability zone.
-    pub zone: ZoneName,
+    pub zone: PublishedZone,
     /// All availability zones, sorted. Invariant: contains `zone`.
-    pub zones: Vec<ZoneName>,
+    pub zones: Vec<PublishedZone>,
     /// Its processor capacity in thousandths of a core.
     pub capacity: u16,
     /// UDP address for packets of clients.
@@ -102,7 +102,7 @@
 fn check_instance(
     section: &Section<'_>,
     checker: &mut Checker,
-) -> Option<(InstanceName, ZoneName, u16)> {
+) -> Option<(PublishedInstance, PublishedZone, u16)> {
     section.check_keys(checker, &["name", "zone", "capacity"], &[]);
     let name = section.parse(checker, "name");
     let zone = section.parse(checker, "zone");
@@ -160,8 +160,8 @@
     }
 }
 
-fn check_zones(top: &Section<'_>, checker: &mut Checker) -> Vec<ZoneName> {
-    let mut zones = top.parse_list::<ZoneName>(checker, "zones");
+fn check_zones(top: &Section<'_>, checker: &mut Checker) -> Vec<PublishedZone> {
+    let mut zones = top.parse_list::<PublishedZone>(checker, "zones");
     zones.sort_unstable();
     zones.dedup();
     zones
--- a/crates/proxy/src/settings/tests.rs
+++ b/crates/proxy/src/settings/tests.rs
@@ -131,6 +131,21 @@
     assert_eq!(translated.beacons, plain.beacons);
 }
 
+/// Guards against an instance that does not start because of the platform's names, whose syntax is not
+/// ours.
+#[test]
+fn the_platform_names_instances_and_zones_freely() {
+    let text = forwarder_document()
+        .replace("name: e-1", "name: \"Edge A/1\"")
+        .replace("zone: a,", "zone: \"Zone Ω\",")
+        .replace("zones: [", "zones: [\"Zone Ω\", ");
+
+    let settings = ForwarderSettings::read(&text).expect("settings");
+
+    assert_eq!(settings.name.as_str(), "Edge A/1");
+    assert_eq!(settings.zone.as_str(), "Zone Ω");
+}
+
 /// Guards against silently ignoring an advertised address that is invalid.
 #[test]
 fn an_advertised_address_that_cannot_be_read_is_refused() {
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use tanager_core::{Incarnation, Millis, ServiceName, ZoneName};
+use tanager_core::{Incarnation, Millis, PublishedService, PublishedZone};
 use tanager_forward::{
     Beacon, Change, Epoch, Forwarder, Kind, Membership, OwnInstance, Role, Route, RouteTable,
     ServiceShare, StoreRevision, Target, TargetNumber, TargetState,
@@ -41,11 +41,11 @@
     TargetNumber::new(index as u64 + 1)
 }
 
-fn zone(number: u8) -> ZoneName {
+fn zone(number: u8) -> PublishedZone {
     format!("zone-{number}").parse().expect("a valid name")
 }
 
-fn service() -> ServiceName {
+fn service() -> PublishedService {
     "screens".parse().expect("a valid name")
 }
 
@@ -71,7 +71,7 @@
         service: service(),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 9_000),
         zone: zone(u8::try_from(index % u16::from(settings.zones)).unwrap_or(0)),
-        slots: SLOTS,
+        slots: u32::from(SLOTS),
         state: TargetState::Ready,
         warmup: Duration::ZERO,
         incarnation: Incarnation::new(1),
