Skip a route that cannot be decoded, and keep the rest in force

Cause: decoding stopped at the first unusable route, so one such route kept back the changes of all others, and every later configuration with it.

Change: each route is decoded by itself. One that cannot be used is skipped with TP130 in the log and counted (routes_skipped); its address is answered by resets. A configuration without any usable route is still refused.

--- a/crates/forwarder/src/reader/publications.rs
+++ b/crates/forwarder/src/reader/publications.rs
@@ -1,6 +1,7 @@
 //! Applies published targets and routes to the view.
 
 use slog::{info, warn};
+use tanager_core::ResultCode;
 use tanager_forward::{Change, RouteTable, TargetNumber};
 
 use crate::instance::Instance;
@@ -22,7 +23,7 @@
     for item in items {
         match item {
             Publication::Target(change) => apply_target(instance, change, origin),
-            Publication::Routes(routes) => apply_routes(instance, routes),
+            Publication::Routes { routes, skipped } => apply_routes(instance, routes, &skipped),
             Publication::Unusable {
                 key,
                 revision,
@@ -31,7 +32,7 @@
             } => {
                 instance.reporter.counters.entries_skipped.increment();
                 warn!(instance.reporter.log, "[store] entry skipped"; "key" => key,
-                        "revision" => %revision, "error" => reason);
+                        "revision" => %revision, "error" => unusable(&reason));
                 // Without a usable entry, the target no longer counts as published.
                 if let Some(number) = target {
                     apply_target(instance, Change::removal(number, revision), origin);
@@ -41,11 +42,23 @@
     }
 }
 
-fn apply_routes(instance: &Instance, routes: RouteTable) {
+/// Returns the text of an error about something published that cannot be used.
+fn unusable(reason: &str) -> String {
+    format!("{}: {reason}", ResultCode::EntryUnusable)
+}
+
+fn apply_routes(instance: &Instance, routes: RouteTable, skipped: &[String]) {
     let (version, count, revision) = (routes.version, routes.len(), routes.revision);
-    if instance.forwarder.borrow_mut().apply_routes(routes) {
-        info!(instance.reporter.log, "[catalogue] routes in force"; "config" => version,
-                "routes" => count, "revision" => %revision);
+    if !instance.forwarder.borrow_mut().apply_routes(routes) {
+        return;
+    }
+    let reporter = &instance.reporter;
+    info!(reporter.log, "[catalogue] routes in force"; "config" => version,
+        "routes" => count, "skipped" => skipped.len(), "revision" => %revision);
+    for reason in skipped {
+        reporter.counters.routes_skipped.increment();
+        warn!(reporter.log, "[store] route skipped"; "config" => version,
+            "error" => unusable(reason));
     }
 }
 
@@ -72,6 +85,6 @@
     match item {
         Publication::Target(change) => Some(change.number),
         Publication::Unusable { target, .. } => *target,
-        Publication::Routes(_) => None,
+        Publication::Routes { .. } => None,
     }
 }
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -60,6 +60,8 @@
     pub store_failures: Counter,
     /// Entries of the store that were skipped as unusable.
     pub entries_skipped: Counter,
+    /// Routes of configurations that were skipped as unusable.
+    pub routes_skipped: Counter,
     /// Views read from peers.
     pub views_pulled: Counter,
     /// Beacons sent to other instances.
--- a/crates/forwarder/src/source.rs
+++ b/crates/forwarder/src/source.rs
@@ -13,7 +13,12 @@
     /// A target was published, changed or removed.
     Target(Change),
     /// Routes were published.
-    Routes(RouteTable),
+    Routes {
+        /// The routes.
+        routes: RouteTable,
+        /// Why other routes of the configuration cannot be used, one text each.
+        skipped: Vec<String>,
+    },
     /// An item that cannot be used. If it is a target's entry, the target counts as removed.
     Unusable {
         /// Its key in the store.
