--- a/crates/proxy/src/catalogue/tests.rs
+++ b/crates/proxy/src/catalogue/tests.rs
@@ -35,6 +35,32 @@
     assert_eq!(target.slots, 2);
 }
 
+/// Guards against an odd entry that ends the process or stops it from taking later editions: very
+/// deeply nested, with a number too large or with a port out of range.
+#[test]
+fn an_odd_entry_is_refused_and_the_next_edition_taken() {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let odd = [
+        document(2).replace("zone: addis-a", &format!("zone: {nested}")),
+        document(2).replace(
+            "number: 1,",
+            "number: 99999999999999999999999999999999999999999,",
+        ),
+        document(2).replace("slots: 2", "slots: 1e999"),
+        document(2).replace("127.0.0.1:9001", "127.0.0.1:70000"),
+    ];
+    let store = CatalogueStore::default();
+    store.offer(&document(1)).expect("first");
+
+    for text in &odd {
+        let refused = store.offer(text).is_err();
+
+        assert!(refused, "{}", &text[..200]);
+        assert_eq!(store.current().revision.number(), 1);
+    }
+    store.offer(&document(3)).expect("the next edition");
+}
+
 /// Guards against returning to an older catalogue that a stale platform serves.
 #[test]
 fn older_revision_is_refused() {
--- a/crates/proxy/src/membership/tests.rs
+++ b/crates/proxy/src/membership/tests.rs
@@ -141,6 +141,30 @@
     assert_eq!(membership.members().len(), MEMBERS_LIMIT);
 }
 
+/// Guards against an odd entry that ends the process or stops it from taking later lists.
+#[test]
+fn an_odd_list_is_refused_and_the_next_one_taken() {
+    let nested = "{a: ".repeat(100_000) + &"}".repeat(100_000);
+    let odd = [
+        list(2, 0..3).replacen("addis", &nested, 1),
+        list(2, 0..3).replacen("7001", "70000", 1),
+        list(99_999_999_999_999_999, 0..3),
+    ];
+    let membership = membership();
+    membership.offer_list(&list(1, 0..3)).expect("list");
+
+    for text in &odd {
+        let refused = membership.offer_list(text).is_err();
+
+        assert!(refused, "{}", &text[..200]);
+        assert_eq!(membership.list().instances.len(), 3);
+    }
+    membership
+        .offer_list(&list(3, 0..4))
+        .expect("the next list");
+    assert_eq!(membership.list().instances.len(), 4);
+}
+
 /// Guards against an invalid list that removes instances, or of which only the first problem is
 /// reported.
 #[test]
