Assume the first target for a flow that comes back unanswered

Change: if such a packet names a target that this instance has tried, the flow is assumed at the first one tried that is not lost: the others were tried since the client had moved on. Tried targets are kept whole, so that one that was assumed wrongly is corrected as well. No packet is held when the flow table is full, as the lookup's result could not be stored; before, it would have been held again each 50 ms (by reading). Deadlines of openings and lookups, and the checks of names, stand in one place each.

Tests: a_flow_that_comes_back_is_assumed_at_the_first_target, a_target_that_was_assumed_wrongly_is_told, a_full_flow_table_holds_no_packet_forever.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -170,8 +170,16 @@
     Ok(())
 }
 
+/// Checks a name whose syntax is up to the users' platform.
+fn check_published(kind: &'static str, s: &str) -> Result<()> {
+    if s.is_empty() {
+        return Err(Error::malformed(kind, s, "expected a name"));
+    }
+    Ok(())
+}
+
 macro_rules! name_id {
-    ($(#[doc = $doc:literal])+ $name:ident) => {
+    ($(#[doc = $doc:literal])+ $name:ident, $check:ident) => {
         $(#[doc = $doc])+
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -195,7 +203,7 @@
             type Err = Error;
 
             fn from_str(s: &str) -> Result<Self> {
-                check_name(stringify!($name), s)?;
+                $check(stringify!($name), s)?;
                 Ok(Self(s.to_owned()))
             }
         }
@@ -204,7 +212,7 @@
             type Error = Error;
 
             fn try_from(s: String) -> Result<Self> {
-                check_name(stringify!($name), &s)?;
+                $check(stringify!($name), &s)?;
                 Ok(Self(s))
             }
         }
@@ -219,88 +227,38 @@
 
 name_id! {
     /// The name of an owner.
-    OwnerName
+    OwnerName, check_name
 }
 name_id! {
     /// The name of a service.
-    ServiceName
+    ServiceName, check_name
 }
 name_id! {
     /// The name of a target.
-    TargetName
+    TargetName, check_name
 }
 name_id! {
     /// The name of an entry instance.
-    InstanceName
+    InstanceName, check_name
 }
 name_id! {
     /// The name of an availability zone.
-    ZoneName
+    ZoneName, check_name
 }
 name_id! {
     /// The name of a region.
-    RegionName
-}
-
-macro_rules! published_name {
-    ($(#[doc = $doc:literal])+ $name:ident) => {
-        $(#[doc = $doc])+
-        ///
-        /// Its syntax is up to the users' platform. Invariant: not empty.
-        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $name(String);
-
-        impl $name {
-            /// Returns the name as text.
-            #[must_use]
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = Error;
-
-            fn from_str(s: &str) -> Result<Self> {
-                Self::try_from(s.to_owned())
-            }
-        }
-
-        impl TryFrom<String> for $name {
-            type Error = Error;
-
-            fn try_from(s: String) -> Result<Self> {
-                if s.is_empty() {
-                    return Err(Error::malformed(stringify!($name), &s, "expected a name"));
-                }
-                Ok(Self(s))
-            }
-        }
-
-        impl From<$name> for String {
-            fn from(name: $name) -> Self {
-                name.0
-            }
-        }
-    };
+    RegionName, check_name
 }
 
-published_name! {
-    /// The name of an entry instance, as the platform gives it.
-    PublishedInstance
+name_id! {
+    /// The name of an entry instance, as the platform gives it. Invariant: not empty.
+    PublishedInstance, check_published
 }
-published_name! {
-    /// The name of a service, as the platform publishes it.
-    PublishedService
+name_id! {
+    /// The name of a service, as the platform publishes it. Invariant: not empty.
+    PublishedService, check_published
 }
-published_name! {
-    /// The name of an availability zone, as the platform publishes it.
-    PublishedZone
+name_id! {
+    /// The name of an availability zone, as the platform publishes it. Invariant: not empty.
+    PublishedZone, check_published
 }
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -78,8 +78,8 @@
 pub struct HalfOpen {
     /// An opening packet of the flow, as the client sent it.
     pub packet: Vec<u8>,
-    /// The targets that it was sent to. Invariant: not empty.
-    pub targets: Vec<TargetNumber>,
+    /// The targets that it was sent to, perhaps with the flow's own.
+    pub tried: Vec<TargetNumber>,
 }
 
 /// A flow's entry in the table.
@@ -212,9 +212,14 @@
         self.records.get(key)
     }
 
+    /// Returns whether no further flow can be added.
+    pub fn is_full(&self) -> bool {
+        self.records.len() >= FLOW_LIMIT
+    }
+
     /// Adds a flow unless the table is full. Returns whether it was added.
     pub fn insert(&mut self, key: FlowKey, flow: Flow) -> bool {
-        let added = self.records.len() < FLOW_LIMIT || self.records.contains_key(&key);
+        let added = !self.is_full() || self.records.contains_key(&key);
         if added {
             self.records.insert(key, flow);
         }
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -13,7 +13,7 @@
 use crate::lookup::Admission;
 use crate::view::Evidence;
 use crate::{
-    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, Segment,
+    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, Liveness, Segment,
     SegmentKind, TargetNumber, TargetState,
 };
 
@@ -127,17 +127,37 @@
             self.bind_to(segment, target, false, now);
             return Ok(Bound::Yes);
         };
-        let follows_opening =
-            flow.is_some_and(|f| segment.sequence == f.first_sequence.wrapping_add(1));
-        let uncertain = matches!(evidence, Evidence::Opening(_)) && !follows_opening;
-        if uncertain && self.look_up(segment, packet, evidence.target(), now) {
-            return Ok(Bound::LookingUp);
+        let certain = match (evidence, flow) {
+            (Evidence::Open(_), _) => true,
+            // The client has just accepted an answer to the opening that this instance received.
+            (Evidence::Opening(_), Some(f)) => segment.sequence == f.first_sequence.wrapping_add(1),
+            // The result of a lookup could not be stored.
+            (Evidence::Opening(_), None) => self.flows.is_full(),
+        };
+        if !certain {
+            let assumed = self.likely_target(&key, evidence.target(), now);
+            if self.look_up(segment, packet, assumed, now) {
+                return Ok(Bound::LookingUp);
+            }
         }
         let confirmed = matches!(evidence, Evidence::Open(_));
         self.bind_to(segment, evidence.target(), confirmed, now);
         Ok(Bound::Yes)
     }
 
+    /// Returns the target at which a flow is most likely open that has made progress through other
+    /// instances, if its packet names a target that only answered an opening. Of the targets that this
+    /// instance tried, that is the first one: the others were tried since the client had moved on.
+    fn likely_target(&self, key: &FlowKey, named: TargetNumber, now: Millis) -> TargetNumber {
+        let opening = self.openings.get(key);
+        let Some(opening) = opening.filter(|o| o.tried.contains(&named)) else {
+            return named;
+        };
+        let lost = |n: TargetNumber| self.liveness.liveness(n, &self.health, now) == Liveness::Lost;
+        let mut tried = opening.tried.iter().copied();
+        tried.find(|n| !lost(*n)).unwrap_or(named)
+    }
+
     /// Binds a flow to a target on a packet that follows the opening.
     fn bind_to(&mut self, segment: &Segment, target: TargetNumber, confirmed: bool, now: Millis) {
         let key = segment.flow;
@@ -189,11 +209,12 @@
         self.loads.opened(target, now);
         if let Some(opening) = self.openings.record_answer(key, target, now) {
             flow.opened_elsewhere = !opening.tried.contains(&target);
-            let mut targets = opening.tried;
-            targets.retain(|tried| *tried != target);
-            flow.half_open = (!targets.is_empty()).then(|| {
-                let packet = opening.packet;
-                Box::new(HalfOpen { packet, targets })
+            let several = flow.opened_elsewhere || opening.tried.len() > 1;
+            flow.half_open = several.then(|| {
+                Box::new(HalfOpen {
+                    packet: opening.packet,
+                    tried: opening.tried,
+                })
             });
         }
     }
@@ -265,7 +286,8 @@
             return;
         };
         let target = flow.target;
-        let entries = half_open.targets.iter().filter_map(|n| self.view.get(*n));
+        let others = half_open.tried.iter().filter(|n| **n != target);
+        let entries = others.filter_map(|n| self.view.get(*n));
         let usable =
             entries.filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready);
         let corrections = usable.map(|entry| DueAction {
@@ -279,12 +301,14 @@
         });
         let before = self.corrections.len();
         self.corrections.extend(corrections);
-        let event = Event::HalfOpenCorrected {
-            flow: *key,
-            target,
-            others: self.corrections.len() - before,
-        };
-        self.record_event(event);
+        let others = self.corrections.len() - before;
+        if others > 0 {
+            self.record_event(Event::HalfOpenCorrected {
+                flow: *key,
+                target,
+                others,
+            });
+        }
     }
 
     /// Holds a packet and asks peers for the target of its flow. Returns `false` if too many packets
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -13,6 +13,7 @@
 mod action;
 mod admission;
 mod beacon;
+mod deadline;
 mod flow_message;
 mod flows;
 mod forwarder;
--- a/crates/forward/src/lookup.rs
+++ b/crates/forward/src/lookup.rs
@@ -1,10 +1,10 @@
 //! Packets of flows whose target is uncertain, held while peers are asked for it.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis};
 
+use crate::deadline::Deadlines;
 use crate::{FlowKey, Segment, TargetNumber};
 
 /// Time for which packets are held. Several round trips between nearby zones, and well below the
@@ -48,8 +48,8 @@
 pub struct Lookups {
     /// Invariant: at most [`MAX_LOOKUPS`] lookups.
     pending: FastMap<FlowKey, Lookup>,
-    /// When each lookup times out, oldest first. May contain lookups that have ended.
-    queue: VecDeque<(Millis, FlowKey)>,
+    /// When the lookups time out.
+    deadlines: Deadlines,
 }
 
 impl Lookups {
@@ -77,7 +77,7 @@
         let packets = vec![held];
         self.pending
             .insert(segment.flow, Lookup { assumed, packets });
-        self.queue.push_back((now + LOOKUP_TIMEOUT, segment.flow));
+        self.deadlines.push(now + LOOKUP_TIMEOUT, segment.flow);
         Admission::Started
     }
 
@@ -88,21 +88,14 @@
 
     /// Returns when the next lookup times out.
     pub fn next_due(&mut self) -> Option<Millis> {
-        while let Some((due, flow)) = self.queue.front() {
-            if self.pending.contains_key(flow) {
-                return Some(*due);
-            }
-            self.queue.pop_front();
-        }
-        None
+        self.deadlines
+            .next_due(|flow| self.pending.contains_key(flow))
     }
 
     /// Ends the next lookup that has timed out.
     pub fn take_due(&mut self, now: Millis) -> Option<Lookup> {
-        if self.next_due()? > now {
-            return None;
-        }
-        let (_, flow) = self.queue.pop_front()?;
+        let waits = |flow: &FlowKey| self.pending.contains_key(flow);
+        let flow = self.deadlines.take_due(waits, now)?;
         self.pending.remove(&flow)
     }
 }
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -1,11 +1,11 @@
 //! Opening packets that no target has answered yet. If the target does not answer in time, another
 //! one is tried before the client retransmits the packet.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis};
 
+use crate::deadline::Deadlines;
 use crate::{FlowKey, TargetNumber};
 
 /// Minimum time that a target has to answer an opening packet before another one is tried. Several
@@ -94,8 +94,7 @@
 pub struct Openings {
     /// Invariant: at most [`OPENING_LIMIT`] openings.
     pending: FastMap<FlowKey, Opening>,
-    /// Deadlines of the openings, in the order in which they were set.
-    queue: VecDeque<(Millis, FlowKey)>,
+    deadlines: Deadlines,
     opening_time: Option<OpeningTime>,
 }
 
@@ -120,7 +119,7 @@
             continued_elsewhere: false,
         };
         self.pending.insert(flow, opening);
-        self.queue.push_back((due, flow));
+        self.deadlines.push(due, flow);
     }
 
     /// Records that the packet was sent to another target.
@@ -129,7 +128,7 @@
         if let Some(opening) = self.pending.get_mut(&flow) {
             opening.tried.push(target);
             opening.due = due;
-            self.queue.push_back((due, flow));
+            self.deadlines.push(due, flow);
         }
     }
 
@@ -176,22 +175,17 @@
 
     /// Returns when the next unanswered opening is due.
     pub fn next_due(&mut self) -> Option<Millis> {
-        while let Some((due, flow)) = self.queue.front() {
-            if self.pending.contains_key(flow) {
-                return Some(*due);
-            }
-            self.queue.pop_front();
-        }
-        None
+        self.deadlines
+            .next_due(|flow| self.pending.contains_key(flow))
     }
 
     /// Returns the next flow whose target has not answered in time.
     pub fn take_due(&mut self, now: Millis) -> Option<FlowKey> {
-        while self.next_due()? <= now {
-            let (_, flow) = self.queue.pop_front()?;
-            let opening = self.pending.get(&flow)?;
+        let waits = |flow: &FlowKey| self.pending.contains_key(flow);
+        while let Some(flow) = self.deadlines.take_due(waits, now) {
             // A retransmission may have been sent to another target in the meantime, which moves
             // the deadline.
+            let opening = self.pending.get(&flow)?;
             if opening.due <= now && !opening.continued_elsewhere {
                 return Some(flow);
             }
--- a/crates/forward/tests/half_open.rs
+++ b/crates/forward/tests/half_open.rs
@@ -3,10 +3,12 @@
 
 mod common;
 
-use common::{Client, FEED_PORT, at, forwarder, seeded_forwarder, sent_to, target};
+use common::{Client, FEED_PORT, ORDER_PORT, at, forwarder, seeded_forwarder, sent_to, target};
 use proptest::prelude::*;
 use tanager_core::Millis;
-use tanager_forward::{Action, Cookie, DueAction, FlowMessage, Forwarder, TargetNumber};
+use tanager_forward::{
+    Action, Cookie, DueAction, FLOW_LIMIT, FlowMessage, Forwarder, TargetNumber,
+};
 
 const TARGETS: u64 = 4;
 
@@ -228,6 +230,58 @@
     assert_eq!(sent_to(client.resend(&mut other, 100, at(200))), confirmed);
 }
 
+/// Guards against taking the last target for the flow's own when no peer answers (soak, seed 1031): the
+/// client had moved to another instance and come back, and all targets had answered the opening.
+#[test]
+fn a_flow_that_comes_back_is_assumed_at_the_first_target() {
+    let mut opener = forwarder(TARGETS);
+    let (mut client, first, second) = open_at_two(&mut opener);
+    client.sent += 500;
+    client.receive_copy(second.opening_cookie());
+
+    let action = client.send(&mut opener, 100, at(120));
+
+    assert_eq!(action, Action::LookUp);
+    let sent = openings(&opener.take_due(at(171)));
+    assert_eq!(sent, [(first, first.cookie())]);
+}
+
+/// Guards against a target that is never told because the flow was first bound to it.
+#[test]
+fn a_target_that_was_assumed_wrongly_is_told() {
+    let mut forwarder = forwarder(TARGETS);
+    let (mut client, first, second) = open_at_two(&mut forwarder);
+    client.receive_copy(second.opening_cookie());
+    client.send(&mut forwarder, 100, at(100));
+
+    client.acknowledge(&mut forwarder, 2_000, at(140));
+
+    let sent = openings(&forwarder.take_due(at(141)));
+    assert_eq!(sent, [(second, first.cookie())]);
+}
+
+/// Guards against packets that are held again after each lookup, because the flow cannot be stored.
+#[test]
+fn a_full_flow_table_holds_no_packet_forever() {
+    let mut other = another_instance();
+    let target = TargetNumber::new(2);
+    for port in 0..=u16::MAX {
+        for service in [FEED_PORT, ORDER_PORT, 1, 2] {
+            let mut client = Client::new(port, service);
+            client.accept(target);
+            client.send(&mut other, 0, at(0));
+        }
+    }
+    assert_eq!(other.gauges(at(0)).flows, FLOW_LIMIT);
+    let mut client = Client::new(7, 3);
+    client.accept_opening(target);
+
+    let action = client.send(&mut other, 100, at(1));
+
+    assert_eq!(sent_to(action), target);
+    assert_eq!(openings(&other.take_due(at(100))), []);
+}
+
 /// What happens to an open flow.
 #[derive(Debug, Clone, Copy)]
 enum Step {
