--- a/crates/standins/src/bin/tanager-bench/chaos.rs
+++ b/crates/standins/src/bin/tanager-bench/chaos.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::ExperimentConfig;
+use crate::fault::{FAULTS, Fault};
 use crate::faults::{
     MAX_DELAY, check_run, figure, load_fraction, ordinary_load, start, start_load,
     wait_for_late_datagrams,
@@ -36,60 +37,6 @@
 /// Fewest and most balancers in the fleet.
 const BALANCER_COUNT: std::ops::RangeInclusive<usize> = 6..=10;
 
-/// A fault that is injected, lasts for some time and is cleared.
-#[derive(Clone, Copy, PartialEq)]
-pub enum Fault {
-    KillBalancer,
-    StopBalancer,
-    FreezeBalancer,
-    AddBalancer,
-    KillTarget,
-    DrainTarget,
-    ColdTarget,
-    LyingTarget,
-    SheddingTarget,
-    ReusedAddress,
-    PlatformDown,
-    PlatformStale,
-    InvalidCatalogue,
-    CutZone,
-    Loss,
-    Duplicates,
-    LateDatagrams,
-    HalfFabric,
-    ForgetCallers,
-    ForgetFeeds,
-    FloodBackground,
-    FloodNormal,
-    FloodUrgent,
-}
-
-const FAULTS: [(Fault, &str); 23] = [
-    (Fault::KillBalancer, "balancer_killed"),
-    (Fault::StopBalancer, "balancer_stopped"),
-    (Fault::FreezeBalancer, "balancer_frozen"),
-    (Fault::AddBalancer, "balancer_added"),
-    (Fault::KillTarget, "target_killed"),
-    (Fault::DrainTarget, "target_drained"),
-    (Fault::ColdTarget, "target_cold"),
-    (Fault::LyingTarget, "target_lying"),
-    (Fault::SheddingTarget, "target_shedding"),
-    (Fault::ReusedAddress, "target_address_reused"),
-    (Fault::PlatformDown, "platform_down"),
-    (Fault::PlatformStale, "platform_stale"),
-    (Fault::InvalidCatalogue, "catalogue_invalid"),
-    (Fault::CutZone, "zone_cut_from_platform"),
-    (Fault::Loss, "loss"),
-    (Fault::Duplicates, "duplicates"),
-    (Fault::LateDatagrams, "late_datagrams"),
-    (Fault::HalfFabric, "fabric_uses_half"),
-    (Fault::ForgetCallers, "fabric_forgets_callers"),
-    (Fault::ForgetFeeds, "target_forgets_feeds"),
-    (Fault::FloodBackground, "flood_background"),
-    (Fault::FloodNormal, "flood_normal"),
-    (Fault::FloodUrgent, "flood_urgent"),
-];
-
 /// An injected fault, with what is needed to clear it.
 enum ActiveFault {
     Nothing,
--- a/crates/standins/src/bin/tanager-bench/faults.rs
+++ b/crates/standins/src/bin/tanager-bench/faults.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::ExperimentConfig;
-use crate::chaos::{Chaos, Fault};
+use crate::chaos::Chaos;
+use crate::fault::Fault;
 use crate::fleet::Fleet;
 use crate::report::Report;
 
--- a/crates/standins/src/bin/tanager-bench/main.rs
+++ b/crates/standins/src/bin/tanager-bench/main.rs
@@ -3,6 +3,7 @@
 mod balancer;
 mod changes;
 mod chaos;
+mod fault;
 mod faults;
 mod fleet;
 mod forwarding;
