--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -7,6 +7,8 @@
 mod clients;
 mod error;
 mod flow_messages;
+#[cfg(test)]
+mod flow_messages_tests;
 mod http;
 mod instance;
 mod pages;
