Follow the evacuation of zones in the view and in placement

Change: view/evacuation.rs keeps the evacuations with their revisions; a Delta carries all of them. Placement excludes the targets of evacuated zones, also for copies and second targets of openings that have not opened; corrections of half-open connections end after 1 s. After the end, the targets are ramped up for 2 s as cold ones are.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -5,7 +5,7 @@
 
 use tanager_core::PublishedService;
 
-use crate::{Cookie, FlowKey, HealthChange, LimitChange, LivenessChange, TargetNumber};
+use crate::{Cookie, Evacuation, FlowKey, HealthChange, LimitChange, LivenessChange, TargetNumber};
 
 /// Where a packet is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -61,6 +61,9 @@
     NoRoutes,
     /// Its service is overloaded. The client retransmits it.
     Overloaded,
+    /// It is an opening that was sent to a target of a zone that is now evacuated, and no other
+    /// target can take it.
+    Evacuated,
 }
 
 impl fmt::Display for DropReason {
@@ -71,6 +74,7 @@
             Self::UnknownTarget => "unknown-target",
             Self::NoRoutes => "no-routes",
             Self::Overloaded => "overloaded",
+            Self::Evacuated => "evacuated",
         })
     }
 }
@@ -161,6 +165,8 @@
     Liveness(LivenessChange),
     /// A target started or stopped failing requests.
     Health(HealthChange),
+    /// The evacuation of a zone began or ended.
+    Evacuation(Evacuation),
     /// The requests in flight to a service started or stopped being limited.
     Limit(LimitChange),
 }
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -6,12 +6,14 @@
 //! target can have written it for an open flow, and the targets that were tried in vain are told
 //! where the flow is open.
 
+use std::time::Duration;
+
 use tanager_core::Millis;
 
 use super::Forwarder;
 use crate::flows::{Binding, Flow, HalfOpen};
 use crate::lookup::Admission;
-use crate::view::Evidence;
+use crate::view::{Evidence, TargetEntry};
 use crate::{
     Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, Liveness, Segment,
     SegmentKind, TargetNumber, TargetState,
@@ -20,6 +22,9 @@
 /// Maximum number of messages to peers between two calls of [`Forwarder::take_messages`].
 const MESSAGE_LIMIT: usize = 256;
 
+/// Time for which targets of a zone that is being evacuated still get corrections.
+const EVACUATION_GRACE: Duration = Duration::from_secs(1);
+
 /// Whether a packet of a flow can be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Bound {
@@ -100,7 +105,7 @@
         if let Some(flow) = self.flows.get_mut(key) {
             flow.binding = Binding::Confirmed;
         }
-        self.correct_half_open(key);
+        self.correct_half_open(key, now);
     }
 
     /// Binds the flow of a packet to its target unless it is bound.
@@ -177,7 +182,7 @@
             flow.acknowledged = segment.acknowledged;
         }
         if confirmed {
-            self.confirm(&key);
+            self.confirm(&key, now);
         }
         if segment.kind != SegmentKind::Abort {
             self.liveness.record_response(target, now);
@@ -227,7 +232,7 @@
         };
         if segment.cookie == flow.target.cookie() {
             if !flow.is_confirmed() && super::is_after(segment.acknowledged, flow.acknowledged) {
-                self.confirm(&key);
+                self.confirm(&key, now);
             }
             return;
         }
@@ -238,29 +243,29 @@
         match evidence {
             Evidence::Open(named) if !confirmed => {
                 self.rebind(&key, named, now);
-                self.confirm(&key);
+                self.confirm(&key, now);
             }
             // The client has received the answer of a target that does not know where the flow is
             // open.
-            Evidence::Opening(named) if confirmed && named != target => self.correct(&key),
+            Evidence::Opening(named) if confirmed && named != target => self.correct(&key, now),
             Evidence::Open(_) | Evidence::Opening(_) => {}
         }
     }
 
     /// Records that the target of an open flow has sent data of the flow.
-    fn confirm(&mut self, key: &FlowKey) {
+    fn confirm(&mut self, key: &FlowKey, now: Millis) {
         let Some(flow) = self.flows.get_mut(key) else {
             return;
         };
         flow.binding = Binding::Confirmed;
         if flow.opened_elsewhere || flow.half_open.is_some() {
-            self.correct(key);
+            self.correct(key, now);
         }
     }
 
     /// Tells the targets that were tried in vain for a flow where it is open, or lets the instance do
     /// so that tried them.
-    fn correct(&mut self, key: &FlowKey) {
+    fn correct(&mut self, key: &FlowKey, now: Millis) {
         let Some(flow) = self.flows.get(key) else {
             return;
         };
@@ -272,13 +277,13 @@
                 confirmed: true,
             });
         }
-        self.correct_half_open(key);
+        self.correct_half_open(key, now);
     }
 
     /// Sends the opening of a flow, with the cookie of its target, to the other targets that were
-    /// tried: they repeat the last cookie that they received. Targets that are leaving are left out,
-    /// since they must not receive an opening late.
-    fn correct_half_open(&mut self, key: &FlowKey) {
+    /// tried: they repeat the last cookie that they received. Targets that are leaving or whose zone
+    /// has been evacuated for a while are left out, since they must not receive an opening late.
+    fn correct_half_open(&mut self, key: &FlowKey, now: Millis) {
         let Some(flow) = self.flows.get(key) else {
             return;
         };
@@ -288,8 +293,13 @@
         let target = flow.target;
         let others = half_open.tried.iter().filter(|n| **n != target);
         let entries = others.filter_map(|n| self.view.get(*n));
-        let usable =
-            entries.filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready);
+        let takes_openings = |e: &&TargetEntry| {
+            let evacuation = self.view.evacuation(&e.target.zone);
+            evacuation.is_none_or(|e| now.since(e.since) < EVACUATION_GRACE)
+        };
+        let usable = entries
+            .filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready)
+            .filter(takes_openings);
         let corrections = usable.map(|entry| DueAction {
             flow: *key,
             action: Action::Forward(Forward {
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -7,7 +7,7 @@
 use super::Forwarder;
 use crate::flows::Flow;
 use crate::opening::MAX_TARGETS;
-use crate::{Action, DropReason, DueAction, FlowKey, Forward, ResetReason, Segment};
+use crate::{Action, DropReason, DueAction, FlowKey, Forward, ResetReason, Segment, TargetNumber};
 
 /// Maximum age of the view at which a packet without a route is answered by a reset. An older view
 /// may lack the route, so the packet is held and then dropped.
@@ -61,7 +61,11 @@
         }
         flow.last_seen = now;
         let target = flow.target;
-        if flow.is_open() {
+        let is_open = flow.is_open();
+        if self.is_evacuated(target) {
+            return self.leave_evacuated(&key, is_open, now);
+        }
+        if is_open {
             return Some(self.forward_to(target));
         }
         self.openings.record_retransmission(&key);
@@ -73,6 +77,32 @@
         Some(replaced.map_or_else(|| self.open_at(target), Ok))
     }
 
+    /// Handles the copy of an opening that was sent to a target of a zone that is now evacuated. A
+    /// flow that has not opened is placed again. If that is not possible, the copy is dropped rather
+    /// than answered by a reset, since the target may just have opened the flow. Returns `None` for
+    /// a flow that is to be placed like a new one.
+    fn leave_evacuated(
+        &mut self,
+        key: &FlowKey,
+        is_open: bool,
+        now: Millis,
+    ) -> Option<Result<Forward, DropReason>> {
+        if !is_open {
+            self.openings.get(key)?;
+            self.openings.record_retransmission(key);
+            if let Some(forward) = self.replace(key, now) {
+                return Some(Ok(forward));
+            }
+        }
+        Some(Err(DropReason::Evacuated))
+    }
+
+    /// Returns whether the zone of a target is evacuated.
+    fn is_evacuated(&self, target: TargetNumber) -> bool {
+        let entry = self.view.get(target);
+        entry.is_some_and(|e| self.view.evacuation(&e.target.zone).is_some())
+    }
+
     /// Places a flow that is being opened on another target.
     fn replace(&mut self, key: &FlowKey, now: Millis) -> Option<Forward> {
         let service = self.service_of(key)?;
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -22,12 +22,17 @@
     pub lost: usize,
     /// Targets that fail requests.
     pub failing: usize,
+    /// Evacuated zones.
+    pub evacuated: usize,
 }
 
 impl Forwarder {
     /// Returns the events since the last call.
     pub fn take_events(&mut self, now: Millis) -> Vec<Event> {
         self.record_liveness_changes(now);
+        for evacuation in self.view.take_evacuation_events() {
+            self.record_event(Event::Evacuation(evacuation));
+        }
         std::mem::take(&mut self.events)
     }
 
@@ -68,6 +73,7 @@
             suspect,
             lost,
             failing: self.health.failing_count(),
+            evacuated: self.view.evacuations().count(),
         }
     }
 }
--- a/crates/forward/src/forwarder/updates.rs
+++ b/crates/forward/src/forwarder/updates.rs
@@ -6,7 +6,7 @@
 
 use super::Forwarder;
 use crate::view::UpdateEffect;
-use crate::{Change, Delta, RouteTable, StoreRevision, TargetNumber};
+use crate::{Change, Delta, EvacuationChange, RouteTable, StoreRevision, TargetNumber};
 
 impl Forwarder {
     /// Records that the view was complete at a time.
@@ -36,6 +36,21 @@
         effect != UpdateEffect::Stale
     }
 
+    /// Applies the published beginning or end of an evacuation. Returns whether the view changed.
+    pub fn apply_evacuation(&mut self, change: EvacuationChange, now: Millis) -> bool {
+        self.view.apply_evacuation(change, now)
+    }
+
+    /// Applies a list of all evacuations that the store published up to `as_of`.
+    pub fn apply_evacuation_list(
+        &mut self,
+        list: Vec<EvacuationChange>,
+        as_of: StoreRevision,
+        now: Millis,
+    ) {
+        self.view.apply_evacuation_list(list, as_of, now);
+    }
+
     /// Applies published routes. Returns whether the view changed.
     pub fn apply_routes(&mut self, routes: RouteTable) -> bool {
         self.view.apply_routes(routes)
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -45,4 +45,6 @@
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
 pub use target::{Cookie, Target, TargetNumber, TargetState};
-pub use view::{Change, Delta, Evidence, TargetEntry, UpdateEffect, View};
+pub use view::{
+    Change, Delta, Evacuation, EvacuationChange, Evidence, TargetEntry, UpdateEffect, View,
+};
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -63,6 +63,8 @@
     ) -> Option<Choice> {
         let accepts =
             |e: &&TargetEntry| e.target.service == *service && e.target.state == TargetState::Ready;
+        let accepts =
+            |e: &&TargetEntry| accepts(e) && self.view.evacuation(&e.target.zone).is_none();
         let candidates: Vec<_> = self.view.published().filter(accepts).collect();
         let untried = candidates
             .iter()
@@ -125,7 +127,8 @@
     fn load(&self, entry: &TargetEntry, candidates: &[&TargetEntry]) -> f64 {
         let target = &entry.target;
         let load = self.loads.get(target.number, self.now);
-        let cold = entry.warmup(self.now) > Duration::ZERO;
+        let cold = entry.warmup(self.now) > Duration::ZERO
+            || self.view.is_ramping_up(&target.zone, self.now);
         // Without flows, a target that is warming up would otherwise attract all new ones.
         let flows = if cold {
             load.flows.max(self.mean_flows(candidates))
--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod epochs;
+mod evacuation;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use crate::{Cookie, RouteTable, StoreRevision, Target, TargetNumber, TargetState, ViewVersion};
 pub use change::{Change, Delta, UpdateEffect};
 use epochs::{Omission, Settling};
+use evacuation::Evacuations;
+pub use evacuation::{Evacuation, EvacuationChange};
 
 /// How long the entry of a removed target is retained. Longer than any flow lasts.
 const RETENTION: Duration = Duration::from_mins(2);
@@ -64,7 +67,7 @@
     }
 }
 
-/// This instance's copy of the published targets and routes.
+/// This instance's copy of the published targets, evacuations and routes.
 ///
 /// Each entry keeps the revision at which it was published and is only replaced by a newer one, so
 /// the store and peers may be read in any order without reverting a change. Routes have a version
@@ -75,6 +78,7 @@
     /// flows can be forwarded.
     targets: FastMap<TargetNumber, TargetEntry>,
     by_cookie: FastMap<Cookie, TargetNumber>,
+    evacuations: Evacuations,
     routes: Arc<RouteTable>,
     /// All changes up to this revision have been applied.
     revision: StoreRevision,
@@ -294,6 +298,7 @@
             whole,
             changes: self.targets.values().filter(newer).map(change).collect(),
             routes: changed.then(|| (*self.routes).clone()),
+            evacuations: self.evacuations.to_changes(),
         }
     }
 
@@ -316,6 +321,7 @@
                 changed.push((number, effect));
             }
         }
+        self.apply_evacuation_list(delta.evacuations, delta.revision, now);
         if let Some(routes) = delta.routes {
             self.apply_routes(routes);
         }
@@ -326,7 +332,7 @@
         changed
     }
 
-    /// Evicts removed targets after their retention time.
+    /// Evicts removed targets and ended evacuations after their retention time.
     pub fn expire(&mut self, now: Millis) {
         let expired = |e: &TargetEntry| e.removed.is_some_and(|at| now.since(at) > RETENTION);
         let evicted = self
@@ -338,5 +344,6 @@
         self.targets.retain(|_, e| !expired(e));
         let targets = &self.targets;
         self.by_cookie.retain(|_, n| targets.contains_key(n));
+        self.evacuations.expire(now);
     }
 }
--- a/crates/forward/src/view/change.rs
+++ b/crates/forward/src/view/change.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::Incarnation;
 
+use super::EvacuationChange;
 use crate::{RouteTable, StoreRevision, Target, TargetNumber};
 
 /// A change of one target's published entry.
@@ -105,4 +106,7 @@
     pub changes: Vec<Change>,
     /// The routes, if they have changed.
     pub routes: Option<RouteTable>,
+    /// All evacuations, also those that have ended recently. A build that lacks this field cannot
+    /// be read: its view may lack an evacuation that is in force.
+    pub evacuations: Vec<EvacuationChange>,
 }
--- a/crates/forward/src/view/epochs.rs
+++ b/crates/forward/src/view/epochs.rs
@@ -1,4 +1,4 @@
-//! Carries targets over to a new epoch of the store.
+//! Carries targets over to a new epoch of the store; evacuations settle with them.
 //!
 //! A restored store lists targets as they were when the copy was made: some have drained or left
 //! since, and some that have started are missing until they publish themselves again. What this
@@ -107,7 +107,8 @@
         if !self.is_settled(epoch, now) {
             return;
         }
-        let remaining = self.provisional().next().is_some();
+        let evacuated = self.evacuations.has_earlier_than(self.revision);
+        let remaining = evacuated || self.provisional().next().is_some();
         let at = now + RETRY_TIME;
         self.settling = remaining.then_some(Settling { epoch, at });
     }
--- a/crates/forward/tests/silent_fleet_wide.rs
+++ b/crates/forward/tests/silent_fleet_wide.rs
@@ -166,6 +166,7 @@
         whole: false,
         changes: vec![common::published(restarted, later(1))],
         routes: None,
+        evacuations: Vec::new(),
     };
 
     forwarder.merge(delta, at(1_550));
--- a/crates/forward/tests/vanished_target.rs
+++ b/crates/forward/tests/vanished_target.rs
@@ -213,6 +213,7 @@
         whole: false,
         changes: vec![published(restarted, later(1))],
         routes: None,
+        evacuations: Vec::new(),
     };
 
     forwarder.merge(delta, at(660));
