Read evacuations from the store, and show them

Cause: evacuations are published under the prefix op/evacuate/, and reached no instance. Log lines [catalogue] evacuation began and ended, [store] unknown zone evacuated (TP130), the gauge tanager_zones_evacuated and the page /status tell of them; the function that builds JSON pages moves to tanagerproxy::http.

--- a/crates/forward/tests/evacuation.rs
+++ b/crates/forward/tests/evacuation.rs
@@ -7,7 +7,7 @@
 };
 use tanager_core::Millis;
 use tanager_forward::{
-    Action, Delta, DropReason, DueAction, EvacuationChange, Event, Forwarder, ResetReason,
+    Action, Delta, DropReason, DueAction, Epoch, EvacuationChange, Event, Forwarder, ResetReason,
     RouteTable, StoreRevision, TargetNumber, ViewVersion,
 };
 
@@ -258,6 +258,26 @@
     assert_eq!((former.0, former.2.len()), (later(1), 4));
 }
 
+/// Guards against an evacuation that ends because the store was restored from an older copy: the
+/// operator gets time to publish it again.
+#[test]
+fn an_evacuation_that_a_restored_store_lacks_is_kept_for_a_while() {
+    let mut forwarder = forwarder();
+    evacuate(&mut forwarder, "a", at(10));
+    let restored = StoreRevision::new(Epoch::new(2), 5);
+    let mut evacuated_after_read = |now| {
+        forwarder.apply_evacuation_list(Vec::new(), restored, now);
+        forwarder.advance(restored);
+        forwarder.finish_settling(now);
+        forwarder.gauges(now).evacuated
+    };
+
+    let kept = [at(1_000), at(5_900)].map(&mut evacuated_after_read);
+
+    assert_eq!(kept, [1, 1]);
+    assert_eq!(evacuated_after_read(at(6_000)), 0);
+}
+
 /// Guards against unbounded growth by evacuations that begin and end.
 #[test]
 fn ended_evacuations_are_evicted() {
--- a/crates/forward/tests/evacuation_order.rs
+++ b/crates/forward/tests/evacuation_order.rs
@@ -152,6 +152,11 @@
         })
     }
 
+    /// Returns all entries, also ended ones.
+    fn entries(&self) -> Vec<EvacuationChange> {
+        self.view.delta(ViewVersion::default()).evacuations
+    }
+
     fn evacuated(&self) -> Vec<&'static str> {
         let is_evacuated = |name: &&str| self.view.evacuation(&zone(name)).is_some();
         ZONES.into_iter().filter(is_evacuated).collect()
@@ -248,12 +253,17 @@
 
         for step in steps {
             let (before, epoch) = (reader.evacuated(), reader.view.revision().epoch);
+            let former = reader.entries();
             reader.perform(step);
 
             prop_assert_eq!(reader.stale_zone(), None, "after {:?}", step);
             let revived = reader.view.evacuations().any(|e| {
                 e.revision.epoch < epoch && !before.contains(&e.zone.as_str())
             });
+            for entry in reader.entries() {
+                let older = former.iter().find(|e| e.zone == entry.zone);
+                prop_assert!(older.is_none_or(|e| e.revision <= entry.revision));
+            }
             prop_assert!(!revived, "{:?} revived an evacuation of an earlier epoch", step);
         }
         let last = reader.history.len() - 1;
--- a/crates/forwarder/src/pages.rs
+++ b/crates/forwarder/src/pages.rs
@@ -1,4 +1,4 @@
-//! HTTP pages: readiness, metrics, and this instance's view for its peers.
+//! HTTP pages: readiness, metrics, status, and this instance's view for its peers.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,14 +6,16 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
+use serde::Serialize;
 use slog::warn;
-use tanager_forward::ViewVersion;
+use tanager_forward::{Evacuation, ViewVersion};
 use tanagerproxy::accept::Acceptor;
-use tanagerproxy::http::{self, Page, text};
+use tanagerproxy::http::{self, Page, json, text};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
 use crate::instance::Instance;
+use crate::report::millis;
 
 /// Time after which a connection without a complete request is closed.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -25,7 +27,7 @@
 pub enum Pages {
     /// Whether the instance accepts packets.
     Ready,
-    /// Counters, gauges and histograms.
+    /// Counters, gauges and histograms, and the state of the view.
     Metrics,
     /// The view, for other instances.
     View,
@@ -52,6 +54,7 @@
     match (pages, request.uri().path()) {
         (Pages::Ready, "/ready") => ready(instance),
         (Pages::Metrics, "/metrics") => metrics(instance),
+        (Pages::Metrics, "/status") => json(&Status::new(instance)),
         (Pages::View, "/view") => view(request.uri().query().unwrap_or(""), instance),
         _ => text(StatusCode::NOT_FOUND, "no such page\n"),
     }
@@ -76,6 +79,45 @@
     }
 }
 
+/// The page `/status`.
+#[derive(Serialize)]
+struct Status {
+    /// The revision up to which the view is complete.
+    revision: String,
+    /// Time since the view was known to be complete; `None` before the first reading.
+    view_age_ms: Option<u64>,
+    /// The evacuations in force, by zone.
+    evacuations: Vec<EvacuationStatus>,
+}
+
+#[derive(Serialize)]
+struct EvacuationStatus {
+    zone: String,
+    /// The revision at which it was published.
+    revision: String,
+    /// Time for which this instance has followed it.
+    age_ms: u64,
+}
+
+impl Status {
+    fn new(instance: &Instance) -> Self {
+        let now = instance.now();
+        let forwarder = instance.forwarder.borrow();
+        let status = |e: &Evacuation| EvacuationStatus {
+            zone: e.zone.to_string(),
+            revision: e.revision.to_string(),
+            age_ms: millis(now.since(e.since)),
+        };
+        let mut evacuations: Vec<_> = forwarder.view().evacuations().map(status).collect();
+        evacuations.sort_unstable_by(|a, b| a.zone.cmp(&b.zone));
+        Self {
+            revision: forwarder.view().revision().to_string(),
+            view_age_ms: forwarder.view_age(now).map(millis),
+            evacuations,
+        }
+    }
+}
+
 fn view(query: &str, instance: &Instance) -> Page {
     let Some(after) = parse_version(query) else {
         return text(
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -4,6 +4,7 @@
 mod publications;
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt as _;
@@ -13,10 +14,10 @@
 use tokio::time::sleep;
 
 use crate::instance::Instance;
-use crate::source::{Page, Source};
+use crate::source::{Page, PublicationBatch, Source};
 use crate::{Error, Result};
 use full_read::FullRead;
-use publications::{Origin, apply_publications};
+use publications::{Origin, apply_listed_evacuations, apply_publications};
 
 /// Time for which a watch waits for a change. It bounds the time until an unresponsive connection
 /// is detected.
@@ -118,7 +119,7 @@
         Ok(changed)
     }
 
-    /// Starts or continues a full read: targets page by page, and routes concurrently. Each page is
+    /// Starts or continues a full read: targets page by page, routes and evacuations concurrently. Each page is
     /// applied when it arrives. The pages are no consistent snapshot, so the full read only counts
     /// as complete as of its start. After a failed call, the next call of this method continues it.
     /// Returns whether it was completed; `false` if a peer's view arrived first.
@@ -126,10 +127,7 @@
         let now = self.instance.now();
         let mut full_read = self.full_read.take().unwrap_or_else(|| FullRead::new(now));
         if full_read.routes.is_none() {
-            // Counted here, since the client that makes this call is dropped with the task.
-            self.instance.reporter.counters.store_calls.add(1);
-            let mut store = S::connect(self.store.address());
-            full_read.routes = Some(spawn_local(async move { store.read_routes().await }));
+            full_read.routes = Some(spawn_local(self.routes_call()));
         }
         self.full_read = Some(full_read);
         if !self.read_targets().await? {
@@ -140,6 +138,21 @@
         Ok(true)
     }
 
+    /// Returns the call that reads the routes and evacuations, on a connection of its own.
+    fn routes_call(&self) -> impl Future<Output = Result<PublicationBatch>> + 'static {
+        let counters = Arc::clone(&self.instance.reporter.counters);
+        let mut store = S::connect(self.store.address());
+        // The first call is counted here, since the task may be aborted.
+        counters.store_calls.add(1);
+        async move {
+            let routes = store.read_routes().await;
+            counters
+                .store_calls
+                .add(store.take_calls().saturating_sub(1));
+            routes
+        }
+    }
+
     /// Reads the remaining pages of targets. Returns `false` if a peer's view arrived first.
     async fn read_targets(&mut self) -> Result<bool> {
         while self.full_read.as_ref().is_some_and(|p| !p.targets_done) {
@@ -173,8 +186,8 @@
         self.instance.forwarder.borrow().view().revision()
     }
 
-    /// Applies the routes and completes the full read. Routes are applied after all targets, since
-    /// new flows are reset while their route has no targets.
+    /// Applies the evacuations and routes and completes the full read. Routes are applied last, since
+    /// new flows are reset while their route has no targets, and must not go to an evacuated zone.
     async fn read_routes(&mut self) -> Result<()> {
         let Some(task) = self.full_read.as_mut().and_then(|p| p.routes.take()) else {
             return Ok(());
@@ -186,7 +199,8 @@
                 .inspect_err(|_| self.discard_full_read())?;
         }
         let items = routes.items.len();
-        apply_publications(&self.instance, routes.items, Origin::FullRead);
+        let others = apply_listed_evacuations(&self.instance, routes.items, routes.revision);
+        apply_publications(&self.instance, others, Origin::FullRead);
         if let Some(full_read) = self.full_read.take() {
             self.finish_full_read(&full_read, routes.revision, items);
         }
--- a/crates/forwarder/src/reader/full_read.rs
+++ b/crates/forwarder/src/reader/full_read.rs
@@ -22,7 +22,7 @@
     pub listed: FastSet<TargetNumber>,
     /// Whether the last page of targets has been read.
     pub targets_done: bool,
-    /// The task that reads the routes concurrently, on a connection of its own.
+    /// The task that reads routes and evacuations concurrently, on a connection of its own.
     pub routes: Option<JoinHandle<Result<PublicationBatch>>>,
 }
 
--- a/crates/forwarder/src/reader/publications.rs
+++ b/crates/forwarder/src/reader/publications.rs
@@ -1,8 +1,8 @@
-//! Applies published targets and routes to the view.
+//! Applies published targets, evacuations and routes to the view.
 
 use slog::{info, warn};
 use tanager_core::ResultCode;
-use tanager_forward::{Change, RouteTable, TargetNumber};
+use tanager_forward::{Change, EvacuationChange, RouteTable, StoreRevision, TargetNumber};
 
 use crate::instance::Instance;
 use crate::source::Publication;
@@ -23,6 +23,7 @@
     for item in items {
         match item {
             Publication::Target(change) => apply_target(instance, change, origin),
+            Publication::Evacuation(change) => apply_evacuation(instance, change),
             Publication::Routes { routes, skipped } => apply_routes(instance, routes, &skipped),
             Publication::Unusable {
                 key,
@@ -47,6 +48,53 @@
     format!("{}: {reason}", ResultCode::EntryUnusable)
 }
 
+fn apply_evacuation(instance: &Instance, change: EvacuationChange) {
+    warn_unknown_zone(instance, &change);
+    let now = instance.now();
+    instance
+        .forwarder
+        .borrow_mut()
+        .apply_evacuation(change, now);
+}
+
+/// Applies the evacuations among the items of a full read, which lists all of them as of a revision,
+/// and returns the other items.
+pub fn apply_listed_evacuations(
+    instance: &Instance,
+    items: Vec<Publication>,
+    as_of: StoreRevision,
+) -> Vec<Publication> {
+    let mut list = Vec::new();
+    let mut others = Vec::new();
+    for item in items {
+        match item {
+            Publication::Evacuation(change) => list.push(change),
+            item => others.push(item),
+        }
+    }
+    for change in &list {
+        warn_unknown_zone(instance, change);
+    }
+    let now = instance.now();
+    let mut forwarder = instance.forwarder.borrow_mut();
+    forwarder.apply_evacuation_list(list, as_of, now);
+    others
+}
+
+/// Logs the evacuation of a zone that the settings do not name. It is followed nevertheless, since
+/// targets may name the zone.
+fn warn_unknown_zone(instance: &Instance, change: &EvacuationChange) {
+    let EvacuationChange {
+        zone,
+        revision,
+        ended,
+    } = change;
+    if !ended && !instance.settings.zones.contains(zone) {
+        warn!(instance.reporter.log, "[store] unknown zone evacuated"; "zone" => %zone,
+            "revision" => %revision, "error" => unusable("the settings do not name the zone"));
+    }
+}
+
 fn apply_routes(instance: &Instance, routes: RouteTable, skipped: &[String]) {
     let (version, count, revision) = (routes.version, routes.len(), routes.revision);
     if !instance.forwarder.borrow_mut().apply_routes(routes) {
@@ -85,6 +133,6 @@
     match item {
         Publication::Target(change) => Some(change.number),
         Publication::Unusable { target, .. } => *target,
-        Publication::Routes { .. } => None,
+        Publication::Evacuation(_) | Publication::Routes { .. } => None,
     }
 }
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -8,8 +8,8 @@
 
 use tanager_core::{Clock, Incarnation};
 use tanager_forward::{
-    Change, Epoch, Kind, Route, RouteTable, ServiceShare, StoreRevision, Target, TargetNumber,
-    TargetState,
+    Change, Epoch, EvacuationChange, Kind, Route, RouteTable, ServiceShare, StoreRevision, Target,
+    TargetNumber, TargetState,
 };
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::task::{LocalSet, spawn_local};
@@ -144,6 +144,14 @@
     }
 }
 
+fn evacuation(name: &str, revision: u64) -> EvacuationChange {
+    EvacuationChange {
+        zone: name.parse().expect("a name"),
+        revision: revision_at(revision),
+        ended: false,
+    }
+}
+
 /// Moves a page to another epoch.
 fn in_epoch(epoch: Epoch, mut page: Page) -> Page {
     page.batch.revision.epoch = epoch;
@@ -277,3 +285,38 @@
         assert!(!instance.forwarder.borrow().view().is_usable());
     });
 }
+
+/// Guards against evacuations that a full read misses, or that outlast their removal because the
+/// store no longer has the change. That of a zone that the settings do not name is followed as well.
+#[test]
+fn a_full_read_begins_and_ends_evacuations() {
+    run(async {
+        let instance = instance();
+        let now = instance.now();
+        let former = evacuation("former", 5);
+        instance
+            .forwarder
+            .borrow_mut()
+            .apply_evacuation(former, now);
+        SCRIPT.with_borrow_mut(|s| {
+            let mut listed = routes(7);
+            for zone in ["a", "unknown"] {
+                let change = evacuation(zone, 6);
+                listed.items.push(Publication::Evacuation(change));
+            }
+            s.pages.push_back(Ok(page(1, 7, false)));
+            s.routes.push_back(Ok(listed));
+        });
+
+        Reader::<ScriptedStore>::new(Rc::clone(&instance))
+            .read()
+            .await
+            .expect("a full read");
+
+        let forwarder = instance.forwarder.borrow();
+        let zones = forwarder.view().evacuations().map(|e| e.zone.to_string());
+        let mut zones: Vec<_> = zones.collect();
+        zones.sort_unstable();
+        assert_eq!(zones, ["a", "unknown"]);
+    });
+}
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -8,7 +8,7 @@
 use opentelemetry::metrics::Histogram;
 use slog::{Logger, info, warn};
 use tanager_core::{Clock, Millis};
-use tanager_forward::{DropReason, Event, Gauges, ResetReason, StoreRevision};
+use tanager_forward::{DropReason, Evacuation, Event, Gauges, ResetReason, StoreRevision};
 use tanagerproxy::counters;
 use tanagerproxy::settings::LogSettings;
 use tanagerproxy::telemetry::{Exporter, Log};
@@ -88,6 +88,7 @@
     suspect: AtomicU64,
     lost: AtomicU64,
     failing: AtomicU64,
+    evacuated: AtomicU64,
     peers: AtomicU64,
     ready: AtomicU64,
 }
@@ -104,6 +105,7 @@
         set(&self.suspect, gauges.suspect);
         set(&self.lost, gauges.lost);
         set(&self.failing, gauges.failing);
+        set(&self.evacuated, gauges.evacuated);
         set(&self.peers, peers);
         set(&self.ready, usize::from(ready));
     }
@@ -131,6 +133,7 @@
     ("targets_failing", "Targets that fail requests.", |c| {
         &c.failing
     }),
+    ("zones_evacuated", "Evacuated zones.", |c| &c.evacuated),
     ("peers", "Other instances heard from.", |c| &c.peers),
     ("ready", "1 if the instance takes packets.", |c| &c.ready),
 ];
@@ -247,7 +250,7 @@
             let first = matches!(event, Event::Placed { attempt: 0, .. });
             let limiter = if first { &self.placed } else { &self.other };
             if limiter.try_consume(now) {
-                self.write(event, revision, age);
+                self.write(event, revision, age, now);
             } else {
                 self.counters.log_lines_left_out.increment();
                 self.suppressed_lines.set(self.suppressed_lines.get() + 1);
@@ -308,11 +311,11 @@
                 }
             }
             Event::HalfOpenCorrected { .. } => counters.half_open_corrected.increment(),
-            Event::Liveness(_) | Event::Health(_) | Event::Limit(_) => {}
+            Event::Liveness(_) | Event::Health(_) | Event::Evacuation(_) | Event::Limit(_) => {}
         }
     }
 
-    fn write(&self, event: &Event, revision: StoreRevision, age_ms: Option<u64>) {
+    fn write(&self, event: &Event, revision: StoreRevision, age_ms: Option<u64>, now: Millis) {
         match event {
             Event::Placed {
                 flow,
@@ -361,12 +364,33 @@
                 "rate" => rounded(change.rate), "sound" => rounded(change.tally.sound),
                 "failures" => rounded(change.tally.failures),
                 "revision" => %revision, "view_age_ms" => age_ms),
+            Event::Evacuation(evacuation) => {
+                self.write_evacuation(evacuation, revision, age_ms, now);
+            }
             Event::Limit(change) => info!(self.log, "[forward] service limit";
                 "service" => %change.service, "limit" => change.limit.map(rounded),
                 "running" => change.running, "late_share" => rounded(change.late_share),
                 "revision" => %revision, "view_age_ms" => age_ms),
         }
     }
+
+    fn write_evacuation(
+        &self,
+        evacuation: &Evacuation,
+        revision: StoreRevision,
+        age_ms: Option<u64>,
+        now: Millis,
+    ) {
+        let change = if evacuation.ended.is_some() {
+            "ended"
+        } else {
+            "began"
+        };
+        info!(self.log, "[catalogue] evacuation {}", change; "zone" => %evacuation.zone,
+            "published" => %evacuation.revision,
+            "followed_ms" => millis(now.since(evacuation.since)),
+            "revision" => %revision, "view_age_ms" => age_ms);
+    }
 }
 
 /// Returns a number rounded to three decimal places, for the log.
@@ -374,6 +398,7 @@
     (value * 1_000.0).round() / 1_000.0
 }
 
-fn millis(time: Duration) -> u64 {
+/// Returns a time in milliseconds, for the log and the status page.
+pub fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/forwarder/src/source.rs
+++ b/crates/forwarder/src/source.rs
@@ -1,9 +1,9 @@
-//! Interface to the store that publishes targets and routes.
+//! Interface to the store that publishes targets, evacuations and routes.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use tanager_forward::{Change, RouteTable, StoreRevision, TargetNumber};
+use tanager_forward::{Change, EvacuationChange, RouteTable, StoreRevision, TargetNumber};
 
 use crate::Result;
 
@@ -12,6 +12,8 @@
 pub enum Publication {
     /// A target was published, changed or removed.
     Target(Change),
+    /// The evacuation of a zone was published or removed.
+    Evacuation(EvacuationChange),
     /// Routes were published.
     Routes {
         /// The routes.
@@ -62,7 +64,7 @@
     /// first one.
     fn read_page(&mut self) -> impl Future<Output = Result<Page>>;
 
-    /// Reads the published routes.
+    /// Reads the published routes and all evacuations.
     fn read_routes(&mut self) -> impl Future<Output = Result<PublicationBatch>>;
 
     /// Makes the next [`Self::read_page`] return the first page.
--- a/crates/proxy/src/http.rs
+++ b/crates/proxy/src/http.rs
@@ -7,8 +7,9 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
 use tokio::net::TcpStream;
 
 /// A response with a page of any content type.
@@ -40,3 +41,14 @@
     *response.status_mut() = status;
     response
 }
+
+/// Returns a page with a value as JSON.
+pub fn json(value: &impl Serialize) -> Page {
+    let body = serde_json::to_vec_pretty(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let content_type = header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
+    response
+}
--- a/crates/proxy/src/status/server.rs
+++ b/crates/proxy/src/status/server.rs
@@ -6,12 +6,11 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode, header};
-use serde::Serialize;
 use tokio::net::TcpListener;
 
 use crate::Node;
 use crate::accept::Acceptor;
-use crate::http::{self, text};
+use crate::http::{self, json, text};
 use crate::status::explain::ExplainQuery;
 use crate::status::metrics;
 use crate::status::{StatusPage, UsagePage};
@@ -114,13 +113,3 @@
         response
     }
 }
-
-fn json(value: &impl Serialize) -> Response<Full<Bytes>> {
-    let body = serde_json::to_vec_pretty(value).unwrap_or_default();
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    let content_type = header::HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(header::CONTENT_TYPE, content_type);
-    response
-}
