--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -40,6 +40,8 @@
     leaving: Cell<bool>,
     /// Whether the store answered the last call.
     store_reachable: Cell<bool>,
+    /// Whether the last view of a peer could not be decoded, as that of a build that lacks a field.
+    pub view_unreadable: Cell<bool>,
 }
 
 impl Instance {
@@ -65,6 +67,7 @@
             held_released: Notify::new(),
             leaving: Cell::new(false),
             store_reachable: Cell::new(true),
+            view_unreadable: Cell::new(false),
             settings,
         })
     }
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -214,7 +214,9 @@
         let status = answer.status.as_u16();
         return Err(Error::Refused { address, status });
     }
-    let delta: Delta = postcard::from_bytes(&answer.body).map_err(Error::answer)?;
+    let delta: std::result::Result<Delta, _> = postcard::from_bytes(&answer.body);
+    instance.view_unreadable.set(delta.is_err());
+    let delta = delta.map_err(Error::answer)?;
     instance.reporter.counters.views_pulled.increment();
     let now = instance.now();
     let mut forwarder = instance.forwarder.borrow_mut();
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -245,8 +245,8 @@
 
     /// Waits for a peer's view while an instance of the zone with a higher rank can read the store,
     /// so that few instances of each zone do a long full read: if all instances of a large fleet do
-    /// so when they start at once, the store refuses most calls. Returns whether a view arrived that
-    /// makes the full read unnecessary.
+    /// so when they start at once, the store refuses most calls. A peer whose view cannot be decoded
+    /// is not waited for. Returns whether a view arrived that makes the full read unnecessary.
     async fn wait_for_peer_view(&self) -> bool {
         let end = self.instance.now() + PEER_VIEW_TIMEOUT;
         while self.instance.now() < end {
@@ -257,7 +257,8 @@
                 return !self.full_read_needed && !self.instance.is_settle_due();
             }
             let now = self.instance.now();
-            if !self.instance.membership.borrow().is_outranked(now) {
+            let outranked = self.instance.membership.borrow().is_outranked(now);
+            if !outranked || self.instance.view_unreadable.get() {
                 return false;
             }
             sleep(PEER_CHECK_INTERVAL).await;
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -8,8 +8,8 @@
 
 use tanager_core::{Clock, Incarnation};
 use tanager_forward::{
-    Change, Epoch, EvacuationChange, Kind, Route, RouteTable, ServiceShare, StoreRevision, Target,
-    TargetNumber, TargetState,
+    Beacon, Change, Epoch, EvacuationChange, Kind, Route, RouteTable, ServiceShare, StoreRevision,
+    Target, TargetNumber, TargetState,
 };
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::task::{LocalSet, spawn_local};
@@ -320,3 +320,44 @@
         assert_eq!(zones, ["a", "unknown"]);
     });
 }
+
+/// Guards against an instance that hardly starts in a fleet of an older build, whose views it cannot
+/// decode: it waited for them after each page.
+#[test]
+fn a_full_read_does_not_wait_for_views_that_cannot_be_decoded() {
+    run(async {
+        let instance = instance();
+        let now = instance.now();
+        let higher = Beacon {
+            from: SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 2), 7_720),
+            incarnation: Incarnation::new(1),
+            zone: 0,
+            capacity: 4_000,
+            leaving: false,
+            store_reachable: true,
+            hub: true,
+            revision: 7,
+            age_ms: 0,
+            members: Vec::new(),
+            loads: Vec::new(),
+            epoch: EPOCH,
+            routes: 1,
+        };
+        instance.membership.borrow_mut().apply_beacon(&higher, now);
+        instance.view_unreadable.set(true);
+        SCRIPT.with_borrow_mut(|s| {
+            let pages = (1..=12).map(|n| Ok(page(n, 7, n < 12)));
+            s.pages.extend(pages);
+            s.routes.push_back(Ok(routes(7)));
+        });
+
+        Reader::<ScriptedStore>::new(Rc::clone(&instance))
+            .read()
+            .await
+            .expect("a full read");
+
+        assert!(instance.membership.borrow().is_outranked(instance.now()));
+        let elapsed = instance.now().since(now);
+        assert!(elapsed < Duration::from_secs(1), "took {elapsed:?}");
+    });
+}
