Count a request as load until its answer is acknowledged

A request counted as load for 150 ms, so slow targets with full queues looked idle. It now counts until the acknowledgement, at most for its route's usual answer time plus four mean deviations and at most 1 s.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -143,6 +143,8 @@
             Some(limit) => match overload {
                 Some(overload) => Some(overload.bound(limit * (1.0 - DECREASE * excess))),
                 None if now.since(self.shed) >= LIMIT_LIFETIME => None,
+                // At the limit, one request that has just ended makes its target look free.
+                None if self.is_late() => Some(limit),
                 None => Some(limit * GROWTH.powf(intervals)),
             },
         };
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -1,6 +1,7 @@
 //! The flow table of an instance, with the requests in progress on each flow.
 
-use std::collections::VecDeque;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis};
@@ -12,9 +13,6 @@
 pub const FLOW_LIMIT: usize = 200_000;
 /// Time for which a finished flow is retained, so that its last packets are still forwarded.
 const FINISHED_LIFETIME: Duration = Duration::from_secs(2);
-/// Time for which a request counts as load. Clients do not acknowledge an answer of a single packet
-/// before their next packet, so a request that is open for longer is treated as answered.
-const LOAD_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which an answer is classified by the bytes acknowledged so far. Clients acknowledge
 /// an answer within 50 ms, and a healthy target with a full queue answers in less than 200 ms.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -47,6 +45,8 @@
     pub started: Millis,
     /// Whether it still counts as load of its target.
     pub counted: bool,
+    /// When it stops counting as load without an acknowledgement.
+    load_end: Millis,
     /// Whether the client has retransmitted it.
     pub retransmitted: bool,
 }
@@ -195,8 +195,8 @@
 pub struct Flows {
     /// Invariant: at most [`FLOW_LIMIT`] flows.
     records: FastMap<FlowKey, Flow>,
-    /// Requests that may still count as load.
-    running: StartQueue,
+    /// Requests that may still count as load, by the time at which they stop counting.
+    running: BinaryHeap<Reverse<(Millis, FlowKey)>>,
     /// Admitted requests and openings that may still count as in flight.
     admitted: StartQueue,
     /// Requests whose answers may still have to be classified.
@@ -239,15 +239,17 @@
         self.records.extract_if(ended).collect()
     }
 
-    /// Records the start of a request.
-    pub fn start_request(&mut self, key: FlowKey, now: Millis) {
+    /// Records the start of a request, which counts as load for `load_time` at most.
+    pub fn start_request(&mut self, key: FlowKey, load_time: Duration, now: Millis) {
         if let Some(flow) = self.records.get_mut(&key) {
+            let load_end = now + load_time;
             flow.request = Some(Request {
                 started: now,
                 counted: true,
+                load_end,
                 retransmitted: false,
             });
-            self.running.push(key, now);
+            self.running.push(Reverse((load_end, key)));
         }
     }
 
@@ -280,12 +282,12 @@
 
     /// Stops counting the next request whose load has timed out, and returns its target.
     pub fn take_overdue_request(&mut self, now: Millis) -> Option<TargetNumber> {
-        while let Some((started, key)) = self.running.take(LOAD_TIMEOUT, now) {
+        while let Some((due, key)) = self.pop_overdue_load(now) {
             let Some(flow) = self.records.get_mut(&key) else {
                 continue;
             };
             if let Some(request) = &mut flow.request
-                && request.started == started
+                && request.load_end == due
                 && request.counted
             {
                 request.counted = false;
@@ -295,6 +297,14 @@
         None
     }
 
+    fn pop_overdue_load(&mut self, now: Millis) -> Option<(Millis, FlowKey)> {
+        let Reverse((due, _)) = self.running.peek()?;
+        if *due > now {
+            return None;
+        }
+        self.running.pop().map(|Reverse(entry)| entry)
+    }
+
     /// Schedules the classification of the answer to a flow's request.
     pub fn expect_answer(&mut self, key: FlowKey, now: Millis) {
         if let Some(flow) = self.records.get_mut(&key) {
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -17,6 +17,7 @@
 use tanager_core::{Millis, PublishedService, PublishedZone};
 
 use crate::admission::Admission;
+use crate::answer_times::AnswerTimes;
 use crate::flows::{Flow, Flows};
 use crate::health::Health;
 use crate::held::HeldPackets;
@@ -60,6 +61,7 @@
     /// Targets that have become lost and whose waiting requests have not been reset yet.
     newly_lost: Vec<TargetNumber>,
     loads: Loads,
+    load_times: AnswerTimes,
     admission: Admission,
     rng: StdRng,
     events: Vec<Event>,
@@ -87,6 +89,7 @@
             health: Health::default(),
             newly_lost: Vec::new(),
             loads: Loads::default(),
+            load_times: AnswerTimes::default(),
             admission: Admission::default(),
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
@@ -179,6 +182,8 @@
         self.health.retain(|n| view.get(n).is_some());
         self.health
             .retain_routes(|address| view.routes().find(address).is_some());
+        self.load_times
+            .retain(|address| view.routes().find(address).is_some());
         for change in self.health.changes(now) {
             self.record_event(Event::Health(change));
         }
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -119,6 +119,10 @@
             self.admission.end(load);
         }
         self.record_answer_time(key, time);
+        // The answer to a repeated request may belong to either copy.
+        if !request.retransmitted {
+            self.load_times.record(key.service, time);
+        }
         if self.answer_times.len() < EVENT_LIMIT {
             self.answer_times.push(time);
         }
@@ -135,7 +139,8 @@
         if is_after(end, flow.sent) {
             flow.sent = end;
             if flow.request.is_none() {
-                self.flows.start_request(key, now);
+                let load_time = self.load_times.load_time(key.service);
+                self.flows.start_request(key, load_time, now);
                 self.loads.start_request(target, now);
                 self.start_counting(&key, now);
             }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod action;
 mod admission;
+mod answer_times;
 mod beacon;
 mod deadline;
 mod flow_message;
@@ -29,6 +30,7 @@
 mod route;
 mod segment;
 mod target;
+mod typical_time;
 mod view;
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -6,6 +6,7 @@
 use tanager_core::{FastMap, Millis};
 
 use crate::deadline::Deadlines;
+use crate::typical_time::TypicalTime;
 use crate::{FlowKey, TargetNumber};
 
 /// Minimum time that a target has to answer an opening packet before another one is tried. Several
@@ -15,12 +16,6 @@
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(190);
 /// Time after which clients retransmit an opening packet, perhaps through another instance.
 const CLIENT_RETRANSMISSION_TIME: Duration = Duration::from_millis(200);
-/// Weight of one opening in the mean time, as for round-trip times in RFC 6298.
-const MEAN_WEIGHT: f64 = 1.0 / 8.0;
-/// Weight of one opening in the mean deviation, as in RFC 6298.
-const DEVIATION_WEIGHT: f64 = 1.0 / 4.0;
-/// Number of mean deviations beyond the mean after which an opening counts as unanswered.
-const DEVIATION_FACTOR: f64 = 4.0;
 /// Maximum number of targets tried for one flow, apart from those tried for the client's
 /// retransmissions.
 pub const MAX_TARGETS: usize = 3;
@@ -61,47 +56,21 @@
     }
 }
 
-/// Estimate of the duration of openings, from the client's first packet to its next one.
-#[derive(Debug, Clone, Copy)]
-struct OpeningTime {
-    mean: f64,
-    deviation: f64,
-}
-
-impl OpeningTime {
-    fn observe(previous: Option<Self>, time: Duration) -> Self {
-        let time = time.as_secs_f64();
-        let Some(Self { mean, deviation }) = previous else {
-            return Self {
-                mean: time,
-                deviation: time / 2.0,
-            };
-        };
-        Self {
-            mean: mean + MEAN_WEIGHT * (time - mean),
-            deviation: deviation + DEVIATION_WEIGHT * ((time - mean).abs() - deviation),
-        }
-    }
-
-    fn timeout(self) -> Duration {
-        let timeout = Duration::from_secs_f64(self.mean + DEVIATION_FACTOR * self.deviation);
-        timeout.clamp(MIN_ANSWER_TIMEOUT, MAX_ANSWER_TIMEOUT)
-    }
-}
-
 /// The unanswered openings of an instance.
 #[derive(Debug, Default)]
 pub struct Openings {
     /// Invariant: at most [`OPENING_LIMIT`] openings.
     pending: FastMap<FlowKey, Opening>,
     deadlines: Deadlines,
-    opening_time: Option<OpeningTime>,
+    /// Duration of openings, from the client's first packet to its next one.
+    opening_time: Option<TypicalTime>,
 }
 
 impl Openings {
     fn answer_timeout(&self) -> Duration {
-        self.opening_time
-            .map_or(MIN_ANSWER_TIMEOUT, OpeningTime::timeout)
+        let usual = self.opening_time;
+        let bound = usual.map_or(MIN_ANSWER_TIMEOUT, TypicalTime::upper_bound);
+        bound.clamp(MIN_ANSWER_TIMEOUT, MAX_ANSWER_TIMEOUT)
     }
 
     /// Stores an opening packet that was sent to a target, unless the limit is reached.
@@ -150,7 +119,7 @@
     ) -> Option<Opening> {
         let opening = self.pending.remove(flow)?;
         if opening.tried.first() == Some(&target) && !opening.retransmitted {
-            self.opening_time = Some(OpeningTime::observe(
+            self.opening_time = Some(TypicalTime::observe(
                 self.opening_time,
                 now.since(opening.started),
             ));
