Report loads in several datagrams, and tell instances their position

A beacon listed 95 loads at most and omitted the least loaded targets, which then counted as idle. A round now has up to four datagrams of 80 loads, two in zones with more than 160 instances, so that an instance of a fleet with 670 instances receives less than 8 KB/s. Beyond that, loads of targets in trouble come first, then those not listed for 2 s, changed ones, and those listed longest ago. The receiver merges the parts of a round; a leaf subtracts its own load as it was when it received the hub's sum.

Hubs also tell each instance of their zone its position among them.

--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -83,11 +83,11 @@
         }
     }
 
-    /// Returns the sort key by which a beacon of limited size selects reports: failures of any
-    /// kind first, then load.
+    /// Returns the number of failures of any kind. Beacons of limited size list targets with
+    /// failures first.
     #[must_use]
-    pub fn priority(&self) -> (u16, u16) {
-        (self.failures.saturating_add(self.misses), self.busy)
+    pub const fn trouble(&self) -> u16 {
+        self.failures.saturating_add(self.misses)
     }
 }
 
@@ -102,6 +102,29 @@
     units
 }
 
+/// The part of a round's loads that a beacon carries. Former builds send no such field; they report
+/// all loads in one beacon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadPart {
+    /// Counts the rounds of the sender.
+    pub round: u16,
+    /// Position of the part in its round.
+    pub index: u8,
+    /// Number of parts of the round.
+    pub parts: u8,
+    /// Number of rounds in which all loads are listed.
+    pub rounds: u16,
+}
+
+/// Position of an instance among those of its availability zone, sorted by address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZonePosition {
+    /// Number of instances with lower addresses.
+    pub index: u16,
+    /// Number of instances.
+    pub count: u16,
+}
+
 /// The state that an instance periodically sends to others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -132,6 +155,10 @@
     pub epoch: Epoch,
     /// The version of its routes.
     pub routes: u64,
+    /// Which part of the loads it carries.
+    pub load_part: LoadPart,
+    /// The receiver's position in its zone, if the sender is the hub of that zone.
+    pub position: Option<ZonePosition>,
 }
 
 impl Beacon {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -35,14 +35,16 @@
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
 pub use admission::LimitChange;
-pub use beacon::{Beacon, LoadReport, MemberReport};
+pub use beacon::{Beacon, LoadPart, LoadReport, MemberReport, ZonePosition};
 pub use flow_message::{FlowDatagram, FlowMessage};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
 pub use health::{HealthChange, Tally};
 pub use liveness::{Liveness, LivenessChange};
 pub use load::TargetLoad;
-pub use membership::{BEACON_INTERVAL, LoadSums, Member, Membership, OwnInstance, Role};
+pub use membership::{
+    BEACON_INTERVAL, LoadSums, Member, Membership, OwnInstance, RingPoint, Role, ZonePositions,
+};
 pub use revision::{Epoch, StoreRevision, ViewVersion};
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -7,14 +7,19 @@
 
 mod loads;
 mod outgoing;
+mod parts;
+mod position;
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use tanager_core::{FastMap, Incarnation, Millis};
 
-use crate::{Beacon, LoadReport, MemberReport, StoreRevision, ViewVersion};
+use crate::{Beacon, MemberReport, StoreRevision, ViewVersion};
 pub use loads::LoadSums;
+use parts::{HeardLoads, LoadSender};
+use position::HeardPosition;
+pub use position::{RingPoint, ZonePositions};
 
 /// Interval between beacons.
 pub const BEACON_INTERVAL: Duration = Duration::from_millis(400);
@@ -63,7 +68,7 @@
     view: ViewVersion,
     /// When its view was last verified to be complete, on this instance's clock.
     verified: Millis,
-    loads: Vec<LoadReport>,
+    loads: HeardLoads,
 }
 
 /// Role of an instance in its zone.
@@ -86,7 +91,13 @@
     store_reachable: bool,
     leaving: bool,
     /// The loads of this instance last sent to the hub.
-    last_reported: Vec<LoadReport>,
+    to_hub: LoadSender,
+    /// As a hub, the loads last sent to the instances of the zone.
+    to_zone: LoadSender,
+    /// As a hub, the loads last sent to the hubs of other zones.
+    to_other_zones: LoadSender,
+    /// The position that the hub told last.
+    position: Option<HeardPosition>,
 }
 
 impl Membership {
@@ -101,7 +112,10 @@
             members: FastMap::default(),
             store_reachable: true,
             leaving: false,
-            last_reported: Vec::new(),
+            to_hub: LoadSender::default(),
+            to_zone: LoadSender::default(),
+            to_other_zones: LoadSender::default(),
+            position: None,
         };
         membership.set_seeds(seeds);
         membership
@@ -137,7 +151,10 @@
         for report in &beacon.members {
             self.apply_report(report, now);
         }
+        self.apply_position(beacon, now);
         let age = Duration::from_millis(u64::from(beacon.age_ms));
+        let mut loads = self.take_loads(beacon);
+        loads.apply(beacon.load_part, &beacon.loads, &self.to_hub, now);
         let member = Member {
             zone: beacon.zone,
             capacity: beacon.capacity,
@@ -150,12 +167,21 @@
                 hub: beacon.hub,
                 view: beacon.view(),
                 verified: now - age,
-                loads: beacon.loads.clone(),
+                loads,
             }),
         };
         self.members.insert(beacon.from, member);
     }
 
+    /// Returns the loads that a beacon's sender has reported so far. They are void if it has restarted,
+    /// or has become or ceased to be a hub, since a hub reports those of its zone.
+    fn take_loads(&mut self, beacon: &Beacon) -> HeardLoads {
+        let member = self.members.remove(&beacon.from);
+        let same = |d: &DirectReport| d.incarnation == beacon.incarnation && d.hub == beacon.hub;
+        let direct = member.and_then(|m| m.direct).filter(same);
+        direct.map(|d| d.loads).unwrap_or_default()
+    }
+
     fn apply_report(&mut self, report: &MemberReport, now: Millis) {
         let age = Duration::from_millis(u64::from(report.age) * 100);
         if report.address == self.own.address || age > MEMBER_TIMEOUT {
--- a/crates/forward/src/membership/loads.rs
+++ b/crates/forward/src/membership/loads.rs
@@ -5,10 +5,6 @@
 use super::{MEMBER_TIMEOUT, Member, Membership, Role};
 use crate::{Cookie, LoadReport, TargetLoad};
 
-/// Maximum number of loads in a beacon, so that it fits into one packet. With more targets, failing
-/// and busy ones are reported first.
-const LOAD_LIMIT: usize = 95;
-
 impl Membership {
     /// Returns the load that a hub reports: that of its own zone, or of all zones if the receiver
     /// is in its zone.
@@ -23,12 +19,7 @@
         let reports = sums
             .iter()
             .filter_map(|(c, load)| LoadReport::new(*c, load));
-        let mut loads: Vec<_> = reports.collect();
-        if loads.len() > LOAD_LIMIT {
-            loads.sort_unstable_by_key(|l| std::cmp::Reverse(l.priority()));
-            loads.truncate(LOAD_LIMIT);
-        }
-        loads
+        reports.collect()
     }
 
     /// Sums the loads that the members selected by `counts` reported for themselves or their zone.
@@ -41,7 +32,7 @@
             // A second hub of the local zone reports the load of the same instances again.
             let is_duplicate = direct.hub && member.zone == self.own.zone;
             if !is_duplicate && now.since(direct.last_seen) <= MEMBER_TIMEOUT {
-                add(&mut sums, &direct.loads, 1.0);
+                add(&mut sums, direct.loads.iter().map(|h| &h.report), 1.0);
             }
         }
         sums
@@ -57,8 +48,12 @@
         let own = self.members.values().filter(|m| m.zone == self.own.zone);
         let hubs = own.filter_map(|m| m.direct.as_ref()).filter(|d| d.hub);
         if let Some(hub) = hubs.max_by_key(|d| d.last_seen) {
-            add(&mut sums, &hub.loads, 1.0);
-            add(&mut sums, &self.last_reported, -1.0);
+            add(&mut sums, hub.loads.iter().map(|h| &h.report), 1.0);
+            add(
+                &mut sums,
+                hub.loads.iter().filter_map(|h| h.own.as_ref()),
+                -1.0,
+            );
         }
         sums
     }
@@ -68,7 +63,7 @@
 pub type LoadSums = FastMap<Cookie, TargetLoad>;
 
 /// Adds reports to sums, or subtracts them if `sign` is negative.
-fn add(sums: &mut LoadSums, reports: &[LoadReport], sign: f64) {
+fn add<'r>(sums: &mut LoadSums, reports: impl IntoIterator<Item = &'r LoadReport>, sign: f64) {
     for report in reports {
         let sum = sums.entry(report.cookie).or_default();
         sum.add(&report.load(), sign);
--- a/crates/forward/src/membership/outgoing.rs
+++ b/crates/forward/src/membership/outgoing.rs
@@ -5,6 +5,7 @@
 
 use tanager_core::Millis;
 
+use super::parts::MAX_PARTS;
 use super::{Member, Membership, Role, rank};
 use crate::{Beacon, LoadReport, MemberReport, ViewVersion};
 
@@ -15,6 +16,11 @@
 /// Maximum number of instances to which an instance itself sends a message about a flow. The hub
 /// relays it to the rest of the zone.
 const FLOW_PEER_LIMIT: usize = 32;
+/// Number of datagrams that a hub sends its zone in a round at most, as long as each instance gets
+/// [`MIN_PARTS`]. An instance of a large fleet then receives less than 8 KB/s.
+const ZONE_DATAGRAMS: usize = 320;
+/// Datagrams in which a hub may always report loads to an instance in one round.
+const MIN_PARTS: usize = 2;
 /// Interval between beacons to a seed. They also reconnect the fleet after a network partition.
 const SEED_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -124,25 +130,35 @@
         member.is_some_and(|m| m.zone == self.own.zone)
     }
 
-    /// Creates a beacon for a receiver. It is the same for all receivers in the local zone, and for
-    /// all receivers in other zones. `own_loads` are those of this instance alone.
-    pub fn beacon(
+    /// Creates the beacons of a round for a receiver: one with all parts of the loads that fit into
+    /// it, and further ones with the rest of the loads. Apart from the position, they are the same for
+    /// all receivers in the local zone, and for all receivers in other zones. `own_loads` are those
+    /// of this instance alone.
+    pub fn beacons(
         &mut self,
         to: SocketAddrV4,
         role: Role,
         (view, view_age): (ViewVersion, Option<Duration>),
         own_loads: &[LoadReport],
         now: Millis,
-    ) -> Beacon {
+    ) -> Vec<Beacon> {
         let age = view_age.map_or(u128::from(u32::MAX), |age| age.as_millis());
-        let loads = match role {
-            Role::Leaf => {
-                self.last_reported = own_loads.to_vec();
-                own_loads.to_vec()
+        let near = self.is_same_zone(to);
+        let max_parts = self.max_parts(now);
+        let parts = match role {
+            Role::Leaf => self.to_hub.next_round(own_loads.to_vec(), MAX_PARTS),
+            Role::Hub => {
+                let loads = self.hub_loads(own_loads, near, now);
+                let sender = if near {
+                    &mut self.to_zone
+                } else {
+                    &mut self.to_other_zones
+                };
+                sender.next_round(loads, max_parts)
             }
-            Role::Hub => self.hub_loads(own_loads, self.is_same_zone(to), now),
         };
-        Beacon {
+        let members = self.reports(now);
+        let beacons = parts.into_iter().map(|(load_part, loads)| Beacon {
             from: self.own.address,
             incarnation: self.own.incarnation,
             zone: self.own.zone,
@@ -153,11 +169,25 @@
             hub: role == Role::Hub && !view.revision.is_none(),
             revision: view.revision.number,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            members: self.reports(now),
+            members: if load_part.index == 0 {
+                members.clone()
+            } else {
+                Vec::new()
+            },
             loads,
             epoch: view.revision.epoch,
             routes: view.routes,
-        }
+            load_part,
+            position: None,
+        });
+        beacons.collect()
+    }
+
+    /// Returns the number of datagrams in which a hub reports loads to each receiver in a round.
+    fn max_parts(&self, now: Millis) -> usize {
+        let zone = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
+        let parts = ZONE_DATAGRAMS.checked_div(zone.count());
+        parts.unwrap_or(MAX_PARTS).clamp(MIN_PARTS, MAX_PARTS)
     }
 }
 
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -48,8 +48,10 @@
     now: Millis,
 ) {
     let role = from.role(RECENT, now);
-    let beacon = from.beacon(address(to_host), role, (view(7), RECENT), loads, now);
-    to.apply_beacon(&beacon, now);
+    for mut beacon in from.beacons(address(to_host), role, (view(7), RECENT), loads, now) {
+        beacon.position = from.zone_positions(now).get(address(to_host));
+        to.apply_beacon(&beacon, now);
+    }
 }
 
 fn load(busy: f64, flows: f64) -> TargetLoad {
@@ -208,7 +210,7 @@
 fn a_peer_without_a_view_verifies_nothing() {
     let mut started = member(1, 0, 500);
     let mut other = member(2, 0, 38);
-    let beacon = started.beacon(
+    let beacons = started.beacons(
         address(2),
         Role::Hub,
         (ViewVersion::default(), None),
@@ -216,7 +218,7 @@
         at(0),
     );
 
-    other.apply_beacon(&beacon, at(10));
+    other.apply_beacon(&beacons[0], at(10));
 
     assert_eq!(other.last_verified(view(5).revision), None);
     assert_eq!(
@@ -245,7 +247,7 @@
     };
     let loads: Vec<_> = (0..200).map(|n| report(u32::MAX - n, busy)).collect();
 
-    let beacon = hub.beacon(
+    let beacons = hub.beacons(
         address(2),
         Role::Hub,
         (view(1 << 40), RECENT),
@@ -253,8 +255,11 @@
         at(0),
     );
 
-    let bytes = postcard::to_stdvec(&beacon).expect("a beacon");
-    assert!(bytes.len() <= UDP_PAYLOAD, "{} bytes", bytes.len());
+    for mut beacon in beacons {
+        beacon.position = hub.zone_positions(at(0)).get(address(4));
+        let bytes = postcard::to_stdvec(&beacon).expect("a beacon");
+        assert!(bytes.len() <= UDP_PAYLOAD, "{} bytes", bytes.len());
+    }
 }
 
 /// Guards against going back to the history that a restored store has left: its numbers are higher
@@ -268,8 +273,8 @@
     };
     for (host, version) in [(2, view(23)), (3, restored)] {
         let mut peer = member(host, 0, 100);
-        let beacon = peer.beacon(address(1), Role::Leaf, (version, RECENT), &[], at(0));
-        receiver.apply_beacon(&beacon, at(0));
+        let beacons = peer.beacons(address(1), Role::Leaf, (version, RECENT), &[], at(0));
+        receiver.apply_beacon(&beacons[0], at(0));
     }
 
     let from_old = receiver.peer_with_newer_view(view(22), at(10));
@@ -289,9 +294,9 @@
         routes: 2,
         ..view(7)
     };
-    let beacon = peer.beacon(address(1), Role::Leaf, (newer, RECENT), &[], at(0));
+    let beacons = peer.beacons(address(1), Role::Leaf, (newer, RECENT), &[], at(0));
 
-    receiver.apply_beacon(&beacon, at(0));
+    receiver.apply_beacon(&beacons[0], at(0));
 
     assert_eq!(
         receiver.peer_with_newer_view(view(7), at(10)),
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -97,8 +97,8 @@
     send_beacon(socket, instance, &other, role);
 }
 
-/// Sends the same beacon to several receivers. Either all of them are known to be in this
-/// instance's zone or none of them is.
+/// Sends the same beacons to several receivers, to each of a hub's zone with its position. Either all
+/// of them are known to be in this instance's zone or none of them is.
 fn send_beacon(socket: &UdpSocket, instance: &Instance, receivers: &[SocketAddrV4], role: Role) {
     let Some(first) = receivers.first() else {
         return;
@@ -110,19 +110,41 @@
         (view, forwarder.load_report(now))
     };
     let mut membership = instance.membership.borrow_mut();
-    let beacon = membership.beacon(*first, role, view, &loads, now);
-    let log = &instance.reporter.log;
-    let bytes = match postcard::to_stdvec(&beacon) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            warn!(log, "[peer] beacon not written"; "error" => %error);
-            return;
+    let beacons = membership.beacons(*first, role, view, &loads, now);
+    let positions = (role == Role::Hub).then(|| membership.zone_positions(now));
+    drop(membership);
+    for mut beacon in beacons {
+        if !beacon.hub || beacon.load_part.index > 0 {
+            let Some(bytes) = encode(&beacon, instance) else {
+                return;
+            };
+            for to in receivers {
+                send_datagram(socket, instance, &bytes, *to);
+            }
+            continue;
         }
-    };
-    for to in receivers {
-        match socket.try_send_to(&bytes, (*to).into()) {
-            Ok(_) => instance.reporter.counters.beacons_sent.increment(),
-            Err(error) => slog::debug!(log, "[peer] send failed"; "error" => %error),
+        for to in receivers {
+            beacon.position = positions.as_ref().and_then(|p| p.get(*to));
+            if let Some(bytes) = encode(&beacon, instance) {
+                send_datagram(socket, instance, &bytes, *to);
+            }
+        }
+    }
+}
+
+fn encode(beacon: &Beacon, instance: &Instance) -> Option<Vec<u8>> {
+    let bytes = postcard::to_stdvec(beacon);
+    if let Err(error) = &bytes {
+        warn!(instance.reporter.log, "[peer] beacon not written"; "error" => %error);
+    }
+    bytes.ok()
+}
+
+fn send_datagram(socket: &UdpSocket, instance: &Instance, bytes: &[u8], to: SocketAddrV4) {
+    match socket.try_send_to(bytes, to.into()) {
+        Ok(_) => instance.reporter.counters.beacons_sent.increment(),
+        Err(error) => {
+            slog::debug!(instance.reporter.log, "[peer] send failed"; "error" => %error);
         }
     }
 }
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -116,11 +116,14 @@
         let view = (self.forwarder.view().version(), Some(Duration::ZERO));
         let loads = self.forwarder.load_report(now);
         let recipients = self.membership.recipients(role, false, now);
-        let beacons = recipients.into_iter().map(|to| {
-            let beacon = self.membership.beacon(to, role, view, &loads, now);
-            (to, beacon)
-        });
-        let beacons = beacons.collect();
+        let positions = self.membership.zone_positions(now);
+        let mut beacons = Vec::new();
+        for to in recipients {
+            for mut beacon in self.membership.beacons(to, role, view, &loads, now) {
+                beacon.position = positions.get(to).filter(|_| beacon.hub);
+                beacons.push((to, beacon));
+            }
+        }
         self.forwarder.sweep(now);
         self.membership.expire(now);
         beacons
