--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -9,8 +9,9 @@
 
 /// Part of the usual answer time of a route within which a short answer may be a refusal.
 const REFUSAL_TIME_RATIO: f64 = 0.75;
-/// Requests in flight per slot from which the queue of a target may be full.
-const REFUSAL_LOAD: f64 = 2.0;
+/// Requests in flight per slot, those on the way left out, from which the queue of a target may have
+/// been full. A full queue has more, but reports of other instances are means of an earlier second.
+const REFUSAL_LOAD: f64 = 1.0;
 
 impl Forwarder {
     /// Expects an answer to a request whose data has arrived. Data after the start of an answer
@@ -66,10 +67,10 @@
         let soon = time
             .zip(usual)
             .is_some_and(|(time, usual)| time < usual.mul_f64(REFUSAL_TIME_RATIO));
-        let load = self.loads.get(target, now);
+        let running = self.placement.running(&self.observations(now), target);
         let entry = self.view.get(target);
-        let slots = entry.map_or(0.0, |e| f64::from(e.target.slots));
-        soon && slots > 0.0 && load.running + load.others >= REFUSAL_LOAD * slots
+        let slots = entry.map_or(f64::INFINITY, |e| f64::from(e.target.slots));
+        soon && running >= REFUSAL_LOAD * slots
     }
 
     /// Avoids a target that has refused a request for the time that its queue takes to empty.
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -6,7 +6,7 @@
 
 use super::binding::Bound;
 use super::{EVENT_LIMIT, Forwarder, is_after};
-use crate::flows::{Request, Shed};
+use crate::flows::{Flow, Request, Shed};
 use crate::{Action, DropReason, FlowKey, Segment, SegmentKind, TargetNumber};
 
 /// Age of a request from which repeated data counts as a retransmission rather than as reordered.
@@ -122,8 +122,11 @@
             self.admission.end(load);
         }
         self.record_answer_time(key, time);
-        // The answer to a repeated request may belong to either copy.
-        if !request.retransmitted {
+        let length = self.flows.get(key).and_then(Flow::answer_length);
+        let short = length.is_some_and(|l| self.health.is_short(key.service, l));
+        // The answer to a repeated request may belong to either copy, and a request that failed at
+        // once tells nothing about others.
+        if !request.retransmitted && !short {
             self.load_times.record(key.service, time);
         }
         if self.answer_times.len() < EVENT_LIMIT {
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -120,6 +120,16 @@
         self.misses >= REMAINS_UNRESPONSIVE_MISSES && self.misses > self.total() * UNRESPONSIVE_RATE
     }
 
+    /// Returns the number of successful answers per second.
+    pub(crate) fn sound_rate(self) -> f64 {
+        self.sound / SUCCESS_DECAY_TIME.as_secs_f64()
+    }
+
+    /// Returns the number of answered and failed requests per second.
+    pub(crate) fn rate(self) -> f64 {
+        self.sound_rate() + self.failures / FAILURE_DECAY_TIME.as_secs_f64()
+    }
+
     fn total(self) -> f64 {
         self.sound + self.failures + self.misses + PRIOR_SUCCESSES
     }
@@ -166,6 +176,11 @@
 }
 
 impl TypicalLength {
+    fn is_short(&self, length: u32) -> bool {
+        let established = self.answers >= MIN_ANSWERS;
+        established && f64::from(length) < MAX_ERROR_LENGTH.min(self.length * SHORT_RATIO)
+    }
+
     /// Updates the estimate with an answer. It tracks the median of the answers that are not
     /// `short`, since most answers of overloaded targets are errors.
     fn observe(&mut self, length: f64, short: bool) {
@@ -222,6 +237,12 @@
         outcome
     }
 
+    /// Returns whether an answer of this length is so short that it is probably an error.
+    pub fn is_short(&self, route: Endpoint, length: u32) -> bool {
+        let typical = self.typical_lengths.get(&route);
+        typical.is_some_and(|t| t.is_short(length))
+    }
+
     /// Records that a target has refused a request because its queue is full. It counts as refusing
     /// until `end`.
     pub fn record_refusal(&mut self, target: TargetNumber, end: Millis) {
@@ -250,11 +271,9 @@
         if length == 0 {
             return Outcome::Failed;
         }
-        let length = f64::from(length);
         let typical = self.typical_lengths.entry(route).or_default();
-        let established = typical.answers >= MIN_ANSWERS;
-        let short = established && length < MAX_ERROR_LENGTH.min(typical.length * SHORT_RATIO);
-        typical.observe(length, short);
+        let short = typical.is_short(length);
+        typical.observe(f64::from(length), short);
         if short {
             Outcome::Failed
         } else {
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -78,8 +78,7 @@
         Some(Observation {
             slots: f64::from(entry.target.slots),
             running: self.loads.mean_running(target, self.now),
-            // Successful answers decay within one second.
-            rate: self.health.tally(target, self.now).sound,
+            rate: self.health.tally(target, self.now).sound_rate(),
         })
     }
 }
@@ -157,6 +156,15 @@
             .clamp(QUEUE_TIME.0, QUEUE_TIME.1)
     }
 
+    /// Returns the requests of all instances in flight to a target, without those on the way.
+    pub fn running(&self, seen: &Observations<'_>, target: TargetNumber) -> f64 {
+        let service = seen.view.get(target).map(|e| &e.target.service);
+        let transit = service.map_or(0.0, |s| self.speeds.transit(s));
+        let load = seen.loads.get(target, seen.now);
+        let rate = seen.health.tally(target, seen.now).rate();
+        (load.running + load.others - rate * transit).max(0.0)
+    }
+
     /// Returns the learned speed of a target.
     pub fn speed(&self, target: TargetNumber) -> f64 {
         self.speeds.get(target)
--- a/crates/forward/src/placement/choose.rs
+++ b/crates/forward/src/placement/choose.rs
@@ -175,8 +175,8 @@
     fn running(&self, number: TargetNumber, weight: f64) -> f64 {
         let now = self.seen.now;
         let load = self.seen.loads.get(number, now);
-        let own_rate = self.seen.health.own(number, now).sound;
-        let rate = self.seen.health.tally(number, now).sound;
+        let own_rate = self.seen.health.own(number, now).sound_rate();
+        let rate = self.seen.health.tally(number, now).sound_rate();
         let transit = self.speeds.transit(self.service);
         let own = (load.running - own_rate * transit).max(0.0);
         let others = (load.others - (rate - own_rate) * transit).max(0.0);
