Tell refusals of full targets from failures, and spill gradually to other zones

In a simulated zone (40 targets of speeds 0.6, 1 and 1.6, 21 instances, 0.85 of the capacity) targets with full queues were taken for failing, and the others were overfilled.

Finished flows no longer count as idle flows of their target.

All instances of a zone see the same reports and spilled together, so the other zone's targets refused 13% of what spilled. The part that spills now grows with the difference of the waits.

--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -7,6 +7,7 @@
 use tanager_core::{FastMap, Millis};
 
 use crate::admission::LoadId;
+use crate::load::FlowLoad;
 use crate::{FlowKey, Segment, TargetNumber};
 
 /// Maximum number of flows in the table. Packets of other flows are forwarded by cookie alone.
@@ -169,6 +170,15 @@
         self.request.is_some_and(|r| r.counted)
     }
 
+    /// Returns what it contributes to the load of its target.
+    pub fn load(&self) -> FlowLoad {
+        FlowLoad {
+            unfinished: !self.finished,
+            opening: !self.is_open(),
+            waiting: self.is_running(),
+        }
+    }
+
     /// Returns the bytes of the pending answer that the client has acknowledged.
     pub fn answer_length(&self) -> Option<u32> {
         let pending = self.pending_answer?;
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -310,8 +310,7 @@
         if let Some(admitted) = flow.admitted {
             self.admission.end(admitted.load);
         }
-        self.loads
-            .close(flow.target, !flow.is_open(), flow.is_running(), now);
+        self.loads.remove(flow.target, flow.load(), now);
     }
 
     fn record_placement(
--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -11,7 +11,16 @@
 const REFUSAL_TIME_RATIO: f64 = 0.75;
 /// Requests in flight per slot, those on the way left out, from which the queue of a target may have
 /// been full. A full queue has more, but reports of other instances are means of an earlier second.
+/// A target that fails all requests at once has less, since its answers take no time.
 const REFUSAL_LOAD: f64 = 1.0;
+/// Part of a target's slots that its successful answers keep busy from which its queue may have been
+/// full for a moment.
+const REFUSAL_USE: f64 = 0.6;
+/// The same while this instance has seen few refusals of the target.
+const MIN_REFUSAL_USE: f64 = 0.2;
+/// Share of a target's short answers below which they are few. A target that fails a part of its
+/// requests has more.
+const RARE_REFUSALS: f64 = 0.2;
 
 impl Forwarder {
     /// Expects an answer to a request whose data has arrived. Data after the start of an answer
@@ -53,8 +62,8 @@
         }
     }
 
-    /// Returns whether an answer came well before the usual time, from a target that had at least
-    /// [`REFUSAL_LOAD`] requests in flight per slot.
+    /// Returns whether an answer came well before the usual time, from a target that is so busy that
+    /// its queue may have been full.
     fn suits_refusal(
         &self,
         key: &FlowKey,
@@ -67,10 +76,14 @@
         let soon = time
             .zip(usual)
             .is_some_and(|(time, usual)| time < usual.mul_f64(REFUSAL_TIME_RATIO));
-        let running = self.placement.running(&self.observations(now), target);
-        let entry = self.view.get(target);
-        let slots = entry.map_or(f64::INFINITY, |e| f64::from(e.target.slots));
-        soon && running >= REFUSAL_LOAD * slots
+        if !soon {
+            return false;
+        }
+        let usage = self.placement.usage(&self.observations(now), target);
+        let rare = self.health.refused_share(target, now) < RARE_REFUSALS;
+        usage.running >= REFUSAL_LOAD
+            || usage.busy >= REFUSAL_USE
+            || (rare && usage.busy >= MIN_REFUSAL_USE)
     }
 
     /// Avoids a target that has refused a request for the time that its queue takes to empty.
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -190,16 +190,8 @@
             return;
         };
         if target != flow.target {
-            let (opening, running) = (!flow.is_open(), flow.is_running());
-            self.loads.close(flow.target, opening, running, now);
-            if opening {
-                self.loads.open(target, now);
-            } else {
-                self.loads.adopt(target, now);
-            }
-            if running {
-                self.loads.start_request(target, now);
-            }
+            self.loads.remove(flow.target, flow.load(), now);
+            self.loads.add(target, flow.load(), now);
             flow.target = target;
         }
         if flow.is_open() {
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -7,6 +7,7 @@
 use super::binding::Bound;
 use super::{EVENT_LIMIT, Forwarder, is_after};
 use crate::flows::{Flow, Request, Shed};
+use crate::load::FlowLoad;
 use crate::{Action, DropReason, FlowKey, Segment, SegmentKind, TargetNumber};
 
 /// Age of a request from which repeated data counts as a retransmission rather than as reordered.
@@ -52,16 +53,25 @@
         }
         match segment.kind {
             SegmentKind::Abort => self.remove_flow(&key, now),
-            SegmentKind::Finish => {
-                if let Some(flow) = self.flows.get_mut(&key) {
-                    flow.finished = true;
-                }
-            }
+            SegmentKind::Finish => self.finish_flow(&key, now),
             _ => {}
         }
         self.forward_to(target).map(Action::Forward)
     }
 
+    /// Records that a flow's client sends no further requests.
+    fn finish_flow(&mut self, key: &FlowKey, now: Millis) {
+        let Some(flow) = self.flows.get_mut(key).filter(|f| !f.finished) else {
+            return;
+        };
+        flow.finished = true;
+        let ended = FlowLoad {
+            unfinished: true,
+            ..FlowLoad::default()
+        };
+        self.loads.remove(flow.target, ended, now);
+    }
+
     /// Returns whether a packet begins a request: it has new data while no answer is outstanding.
     fn is_new_request(&self, segment: &Segment) -> bool {
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -79,9 +79,9 @@
         let tried = self.openings.get(key)?.tried.clone();
         let choice = self.choose(&service, &tried, now)?;
         let flow = self.flows.get_mut(key)?;
-        self.loads.close(flow.target, true, false, now);
+        self.loads.remove(flow.target, flow.load(), now);
         flow.target = choice.target;
-        self.loads.open(choice.target, now);
+        self.loads.add(choice.target, flow.load(), now);
         self.openings.retry(*key, choice.target, now);
         let attempt = u8::try_from(tried.len()).unwrap_or(u8::MAX);
         self.record_placement(*key, service, choice, attempt);
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -216,6 +216,8 @@
     typical_lengths: FastMap<Endpoint, TypicalLength>,
     own: FastMap<TargetNumber, TimedTally>,
     others: FastMap<TargetNumber, TimedTally>,
+    /// Refused requests of this instance, which decay as successful answers do.
+    refused: FastMap<TargetNumber, TimedTally>,
     /// Until when targets that have refused a request count as full.
     refusing: FastMap<TargetNumber, Millis>,
     /// Targets last logged as failing. Invariant: contains no duplicates.
@@ -232,11 +234,26 @@
         match outcome {
             Outcome::Answered => self.add(target, Tally::ANSWERED, now),
             Outcome::Failed => self.add(target, Tally::FAILED, now),
-            Outcome::Refused => {}
+            Outcome::Refused => self.count_refusal(target, now),
         }
         outcome
     }
 
+    fn count_refusal(&mut self, target: TargetNumber, now: Millis) {
+        let refused = self.refused.entry(target).or_default();
+        *refused = TimedTally {
+            tally: refused.decayed_at(now).add_scaled(Tally::ANSWERED, 1.0),
+            at: now,
+        };
+    }
+
+    /// Returns the share of a target's recent answers to this instance that were refusals.
+    pub fn refused_share(&self, target: TargetNumber, now: Millis) -> f64 {
+        let refused = self.refused.get(&target);
+        let refused = refused.map_or(0.0, |r| r.decayed_at(now).sound);
+        refused / (refused + self.own(target, now).sound + PRIOR_SUCCESSES)
+    }
+
     /// Returns whether an answer of this length is so short that it is probably an error.
     pub fn is_short(&self, route: Endpoint, length: u32) -> bool {
         let typical = self.typical_lengths.get(&route);
@@ -344,6 +361,7 @@
     pub fn clear(&mut self, target: TargetNumber) {
         self.own.remove(&target);
         self.others.remove(&target);
+        self.refused.remove(&target);
         self.refusing.remove(&target);
     }
 
@@ -351,6 +369,7 @@
     pub fn retain(&mut self, keep: impl Fn(TargetNumber) -> bool) {
         self.own.retain(|target, _| keep(*target));
         self.others.retain(|target, _| keep(*target));
+        self.refused.retain(|target, _| keep(*target));
         self.refusing.retain(|target, _| keep(*target));
         self.failing.retain(|target| keep(*target));
     }
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -68,6 +68,17 @@
     }
 }
 
+/// What a flow contributes to the load of its target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FlowLoad {
+    /// Whether its client may send further requests.
+    pub unfinished: bool,
+    /// Whether the target has not answered the opening.
+    pub opening: bool,
+    /// Whether a request has no answer so far.
+    pub waiting: bool,
+}
+
 /// The load of one target, as used for placement.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -113,12 +124,21 @@
         });
     }
 
-    /// Counts the end of a flow, which may be opening or waiting for an answer.
-    pub fn close(&mut self, target: TargetNumber, opening: bool, waiting: bool, now: Millis) {
+    /// Counts a flow that has moved from another target.
+    pub fn add(&mut self, target: TargetNumber, load: FlowLoad, now: Millis) {
+        self.change(target, now, |own| {
+            own.flows += u32::from(load.unfinished);
+            own.opening += u32::from(load.opening);
+            own.waiting += u32::from(load.waiting);
+        });
+    }
+
+    /// Stops counting a flow, or parts of its load.
+    pub fn remove(&mut self, target: TargetNumber, load: FlowLoad, now: Millis) {
         self.change(target, now, |own| {
-            own.flows = own.flows.saturating_sub(1);
-            own.opening = own.opening.saturating_sub(u32::from(opening));
-            own.waiting = own.waiting.saturating_sub(u32::from(waiting));
+            own.flows = own.flows.saturating_sub(u32::from(load.unfinished));
+            own.opening = own.opening.saturating_sub(u32::from(load.opening));
+            own.waiting = own.waiting.saturating_sub(u32::from(load.waiting));
         });
     }
 
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -83,6 +83,15 @@
     }
 }
 
+/// How busy a target is.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Usage {
+    /// Requests in flight per slot, without those on the way.
+    pub running: f64,
+    /// Part of the slots that successful answers of the last second kept busy.
+    pub busy: f64,
+}
+
 /// State of placement.
 #[derive(Debug, Default)]
 pub struct Placement {
@@ -156,13 +165,21 @@
             .clamp(QUEUE_TIME.0, QUEUE_TIME.1)
     }
 
-    /// Returns the requests of all instances in flight to a target, without those on the way.
-    pub fn running(&self, seen: &Observations<'_>, target: TargetNumber) -> f64 {
-        let service = seen.view.get(target).map(|e| &e.target.service);
-        let transit = service.map_or(0.0, |s| self.speeds.transit(s));
+    /// Returns how busy all instances together keep a target.
+    pub fn usage(&self, seen: &Observations<'_>, target: TargetNumber) -> Usage {
+        let Some(entry) = seen.view.get(target) else {
+            return Usage::default();
+        };
+        let slots = f64::from(entry.target.slots);
+        let service = &entry.target.service;
         let load = seen.loads.get(target, seen.now);
-        let rate = seen.health.tally(target, seen.now).rate();
-        (load.running + load.others - rate * transit).max(0.0)
+        let tally = seen.health.tally(target, seen.now);
+        let on_the_way = tally.rate() * self.speeds.transit(service);
+        let work = self.speeds.work(service) / self.speeds.get(target);
+        Usage {
+            running: (load.running + load.others - on_the_way).max(0.0) / slots,
+            busy: tally.sound_rate() * work / slots,
+        }
     }
 
     /// Returns the learned speed of a target.
--- a/crates/forward/src/placement/choose.rs
+++ b/crates/forward/src/placement/choose.rs
@@ -1,6 +1,7 @@
 //! Choice among the targets of a subset by expected answer time, and of further targets while those
 //! of the subset are full.
 
+use rand::RngExt as _;
 use rand::rngs::StdRng;
 use rand::seq::index;
 use tanager_core::PublishedService;
@@ -17,11 +18,20 @@
 const SUBSET_SAMPLE: usize = 8;
 /// Number of targets beyond the subset that are compared, in the zone and again in other zones.
 const WIDER_SAMPLE: usize = 4;
+/// Number of targets drawn from all zones to find [`WIDER_SAMPLE`] of other zones.
+const OTHER_ZONE_DRAWS: usize = 8;
+/// Difference of the expected waits in seconds, beyond [`ZONE_PREFERENCE`], at which all flows go to
+/// the other zone. Below it a part does so: all instances of a zone see the same reports, and would
+/// otherwise all move back and forth.
+const SPILL_RANGE: f64 = 0.05;
 /// Part of the load of other instances that counts for targets of the subset. Those reports are 0.4
 /// to 1.2 s old, and at full weight all instances would avoid and prefer the same targets.
 const OTHERS_WEIGHT: f64 = 0.5;
+/// Weight of a target's turn against its expected wait. A lower one lets waits decide more often, and
+/// shares follow the speeds less closely.
+const TURN_WEIGHT: f64 = 0.6;
 /// Requests in flight per slot from which a target counts as full.
-const FULL_LOAD: f64 = 2.5;
+const FULL_LOAD: f64 = 3.5;
 /// Expected wait, in requests per slot, from which targets beyond the subset are compared.
 const WIDER_WAIT: f64 = 1.0;
 /// Expected wait, in requests per slot, that a target of the subset may have more than one beyond it,
@@ -29,7 +39,7 @@
 const SUBSET_PREFERENCE: f64 = 0.5;
 /// Expected wait in seconds that a target of the own zone may have more than one of another zone.
 /// Traffic between zones has a cost, and a network partition between zones ends its flows.
-const ZONE_PREFERENCE: f64 = 0.04;
+const ZONE_PREFERENCE: f64 = 0.02;
 
 /// Where a target was found.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -47,8 +57,10 @@
     target: TargetNumber,
     /// Requests in flight per slot, those on the way left out.
     load: f64,
-    /// Expected wait for a free slot in seconds.
+    /// Expected wait for a free slot in seconds, with [`OTHERS_WEIGHT`] for targets of the subset.
     wait: f64,
+    /// The same with the whole load of other instances.
+    whole_wait: f64,
     /// What decides between targets, in seconds: the expected wait, the share of flows, and whose
     /// turn it is.
     rank: f64,
@@ -83,7 +95,7 @@
         if best.is_none_or(|b| self.is_insufficient(&b)) {
             best = self.compare_zone(best);
         }
-        if best.is_none_or(|b| b.wait > ZONE_PREFERENCE || b.is_full()) {
+        if best.is_none_or(|b| b.whole_wait > ZONE_PREFERENCE || b.is_full()) {
             best = self.compare_other_zones(best);
         }
         let best = best?;
@@ -124,16 +136,35 @@
     /// Compares some targets of all zones with the best one so far.
     fn compare_other_zones(&mut self, best: Option<Estimate>) -> Option<Estimate> {
         let found = self.sample(&self.targets.all, Origin::OtherZone);
-        better(best, found, ZONE_PREFERENCE)
+        match (best, found) {
+            (Some(best), Some(found)) => {
+                let full = best.is_full() && !found.is_full();
+                let gain = best.whole_wait - found.whole_wait - ZONE_PREFERENCE;
+                let spills = gain > 0.0 && self.rng.random_bool((gain / SPILL_RANGE).min(1.0));
+                Some(if full || spills { found } else { best })
+            }
+            (best, found) => best.or(found),
+        }
     }
 
     fn sample(&mut self, targets: &[TargetNumber], origin: Origin) -> Option<Estimate> {
-        let drawn = index::sample(self.rng, targets.len(), targets.len().min(WIDER_SAMPLE));
-        let drawn: Vec<_> = drawn.into_iter().map(|i| targets[i]).collect();
+        let count = match origin {
+            Origin::OtherZone => OTHER_ZONE_DRAWS,
+            Origin::Subset(_) | Origin::Zone => WIDER_SAMPLE,
+        };
+        let drawn = index::sample(self.rng, targets.len(), targets.len().min(count));
+        let is_wanted = |n: &TargetNumber| origin == Origin::Zone || !self.is_near(*n);
+        let drawn = drawn.into_iter().map(|i| targets[i]).filter(is_wanted);
+        let drawn: Vec<_> = drawn.take(WIDER_SAMPLE).collect();
         let estimates = drawn.into_iter().filter_map(|n| self.estimate(n, origin));
         least(estimates.collect())
     }
 
+    fn is_near(&self, number: TargetNumber) -> bool {
+        let entry = self.seen.view.get(number);
+        entry.is_some_and(|e| e.target.zone == *self.seen.zone)
+    }
+
     /// Estimates the load of a target, or returns `None` if it is not usable.
     fn estimate(&mut self, number: TargetNumber, origin: Origin) -> Option<Estimate> {
         self.examined += 1;
@@ -152,27 +183,34 @@
             Origin::Zone | Origin::OtherZone => (1.0, 1.0),
         };
         let seen = self.seen.loads.get(number, self.seen.now);
-        let running = self.running(number, weight);
+        let (own, others) = self.running(number);
         // Time in seconds for which one more request keeps the target busy.
         let time = self.speeds.work(self.service) / (self.speeds.get(number) * slots);
-        let mut wait = (running + 1.0 - slots).max(0.0) * time;
         let cold = is_cold(entry, self.seen.now);
-        if cold {
-            wait = wait * WARMUP_FACTOR + WARMUP_PENALTY * slots * time;
-        }
+        let wait = |running: f64| {
+            let wait = (running + 1.0 - slots).max(0.0) * time;
+            if cold {
+                wait * WARMUP_FACTOR + WARMUP_PENALTY * slots * time
+            } else {
+                wait
+            }
+        };
+        let running = own + others * weight;
         let turn = self.turns.delay(number, self.turns.current(self.service));
         Estimate {
             target: number,
             load: running / slots,
-            wait,
-            rank: wait + seen.flows * FLOW_DEMAND * time + turn,
+            wait: wait(running),
+            whole_wait: wait(own + others),
+            rank: wait(running) + seen.flows * FLOW_DEMAND * time + turn * TURN_WEIGHT,
             cost: time / share,
             cold,
         }
     }
 
-    /// Returns the requests in flight to a target, without those on the way.
-    fn running(&self, number: TargetNumber, weight: f64) -> f64 {
+    /// Returns the requests in flight to a target of this and of other instances, without those on
+    /// the way.
+    fn running(&self, number: TargetNumber) -> (f64, f64) {
         let now = self.seen.now;
         let load = self.seen.loads.get(number, now);
         let own_rate = self.seen.health.own(number, now).sound_rate();
@@ -180,7 +218,7 @@
         let transit = self.speeds.transit(self.service);
         let own = (load.running - own_rate * transit).max(0.0);
         let others = (load.others - (rate - own_rate) * transit).max(0.0);
-        own + others * weight
+        (own, others)
     }
 }
 
--- a/crates/forward/src/placement/speed.rs
+++ b/crates/forward/src/placement/speed.rs
@@ -14,13 +14,15 @@
 
 /// Time constant of the moving averages. Within it a target has many more responses than the few
 /// that take much longer than others.
-const AVERAGING_TIME: Duration = Duration::from_secs(5);
+const AVERAGING_TIME: Duration = Duration::from_secs(8);
 /// Minimum time between two updates.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(390);
 /// Longest time that one observation stands for.
 const MAX_STEP: Duration = Duration::from_secs(1);
 /// Time without responses after which a target's speed is forgotten.
 const MEMORY: Duration = Duration::from_secs(10);
+/// Responses per second below which a target counts as having none. Rates decay and never reach 0.
+const MIN_RATE: f64 = 1.0;
 /// Responses within the averaging time from which a speed is known.
 const MIN_RESPONSES: f64 = 25.0;
 /// Lowest and highest speed.
@@ -176,7 +178,7 @@
         now: Millis,
     ) -> Average {
         let known = self.targets.contains_key(&number);
-        if !known && seen.rate <= 0.0 {
+        if !known && seen.rate < MIN_RATE {
             return Average::default();
         }
         let target = self.targets.entry(number).or_insert(TargetSpeed {
@@ -184,7 +186,7 @@
             last_response: now,
             speed: 1.0,
         });
-        if seen.rate > 0.0 {
+        if seen.rate >= MIN_RATE {
             target.last_response = now;
         }
         let busy = (seen.running - seen.rate * transit).max(seen.running * MIN_BUSY_PART);
--- a/crates/forward/tests/common/fleet.rs
+++ b/crates/forward/tests/common/fleet.rs
@@ -185,6 +185,10 @@
     /// Forgets what happened so far.
     pub fn reset_counts(&mut self) {
         self.counts = Counts::default();
+    }
+
+    /// Forgets how busy the targets were.
+    pub fn reset_busy(&mut self) {
         for target in &mut self.targets {
             target.busy = 0.0;
         }
@@ -198,7 +202,7 @@
         busy.into_iter().fold(0.0, f64::max) / mean
     }
 
-    pub fn millis(&self) -> Millis {
+    fn millis(&self) -> Millis {
         at(self.now / 1_000)
     }
 
@@ -222,7 +226,10 @@
     fn arrive(&mut self, zone: usize) {
         let gap = -self.rng.random_range(f64::EPSILON..1.0_f64).ln() / self.settings.rates[zone];
         let gap = Duration::from_secs_f64(gap).as_micros();
-        self.schedule(u64::try_from(gap).expect("a short time"), Event::Arrival(zone));
+        self.schedule(
+            u64::try_from(gap).expect("a short time"),
+            Event::Arrival(zone),
+        );
         let first: usize = self.settings.zones[..zone].iter().map(|z| z.1).sum();
         let instance = first + self.rng.random_range(0..self.settings.zones[zone].1);
         let id = self.requests.len();
