--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -113,7 +113,8 @@
         service: PublishedService,
         /// The chosen target.
         target: TargetNumber,
-        /// Its estimated load divided by its slots and its speed, with all penalties.
+        /// Its estimated load divided by its slots: in a subset divided by its speed, too, otherwise with
+        /// penalties.
         load: f64,
         /// Number of ready targets of the service.
         candidates: usize,
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -39,7 +39,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Choice {
     pub target: TargetNumber,
-    /// Its load divided by its slots and its speed, with all penalties.
+    /// Its load divided by its slots: in a subset divided by its speed, too, otherwise with penalties.
     pub load: f64,
     /// Number of ready targets of the service.
     pub candidates: usize,
--- a/crates/forward/tests/unequal_targets.rs
+++ b/crates/forward/tests/unequal_targets.rs
@@ -91,8 +91,8 @@
 }
 
 /// Guards against overfilled targets while others are free. With two sampled targets, as in services
-/// with few targets, a fifth of all requests was refused, and the busiest target had twice the work
-/// of the mean. A single period of 10 s exceeds 1.15 at times, by chance in the lengths of requests.
+/// with few targets, a fifth of all requests was refused, and the busiest target had 1.7 times the
+/// work of the mean. A single period of 10 s exceeds 1.15 at times, by chance in the lengths of requests.
 #[test]
 fn work_follows_the_speeds_and_few_requests_are_refused() {
     let seed = rand::random();
