Count rounds of beacons over all groups of receivers

A hub takes an instance that it does not know yet for one of another zone. Once it knew it, the rounds of the zone could be counted less far, and the receiver ignored their loads as outdated. tests/beacon_parts.rs covers it.

--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -90,6 +90,8 @@
     members: FastMap<SocketAddrV4, Member>,
     store_reachable: bool,
     leaving: bool,
+    /// Number of the last round of beacons.
+    round: u16,
     /// The loads of this instance last sent to the hub.
     to_hub: LoadSender,
     /// As a hub, the loads last sent to the instances of the zone.
@@ -112,6 +114,7 @@
             members: FastMap::default(),
             store_reachable: true,
             leaving: false,
+            round: 0,
             to_hub: LoadSender::default(),
             to_zone: LoadSender::default(),
             to_other_zones: LoadSender::default(),
--- a/crates/forward/src/membership/outgoing.rs
+++ b/crates/forward/src/membership/outgoing.rs
@@ -145,8 +145,10 @@
         let age = view_age.map_or(u128::from(u32::MAX), |age| age.as_millis());
         let near = self.is_same_zone(to);
         let max_parts = self.max_parts(now);
+        self.round = self.round.wrapping_add(1);
+        let round = self.round;
         let parts = match role {
-            Role::Leaf => self.to_hub.next_round(own_loads.to_vec(), MAX_PARTS),
+            Role::Leaf => self.to_hub.next_round(round, own_loads.to_vec(), MAX_PARTS),
             Role::Hub => {
                 let loads = self.hub_loads(own_loads, near, now);
                 let sender = if near {
@@ -154,7 +156,7 @@
                 } else {
                     &mut self.to_other_zones
                 };
-                sender.next_round(loads, max_parts)
+                sender.next_round(round, loads, max_parts)
             }
         };
         let members = self.reports(now);
--- a/crates/forward/src/membership/parts.rs
+++ b/crates/forward/src/membership/parts.rs
@@ -30,11 +30,13 @@
 }
 
 impl LoadSender {
-    /// Returns the parts of the next round, in at most `max_parts` datagrams. If there is no room
+    /// Returns the parts of the next round, in at most `max_parts` datagrams. `number` identifies it to
+    /// the receivers, and increases over all groups, since a receiver may change its group. If there is no room
     /// for all loads, those of targets in trouble come first, then those not sent for 2 s, then
     /// changed ones, and of these the ones that were sent longest ago.
     pub fn next_round(
         &mut self,
+        number: u16,
         mut loads: Vec<LoadReport>,
         max_parts: usize,
     ) -> Vec<(LoadPart, Vec<LoadReport>)> {
@@ -55,7 +57,7 @@
             };
             self.sent.insert(report.cookie, sent);
         }
-        self.divide(&loads, rounds)
+        divide(number, &loads, rounds)
     }
 
     fn urgency(&self, load: &LoadReport) -> (u16, bool, bool, u16) {
@@ -70,27 +72,27 @@
         self.sent.retain(|cookie, _| listed.contains(cookie));
     }
 
-    fn divide(&self, loads: &[LoadReport], rounds: usize) -> Vec<(LoadPart, Vec<LoadReport>)> {
-        let mut chunks: Vec<_> = loads.chunks(PART_SIZE).map(<[_]>::to_vec).collect();
-        if chunks.is_empty() {
-            chunks.push(Vec::new());
-        }
-        let parts = u8::try_from(chunks.len()).unwrap_or(u8::MAX);
-        let part = |index| LoadPart {
-            round: self.round,
-            index,
-            parts,
-            rounds: u16::try_from(rounds).unwrap_or(u16::MAX),
-        };
-        (0..parts).map(part).zip(chunks).collect()
-    }
-
     /// Returns the load of a target as last reported.
     fn sent(&self, cookie: Cookie) -> Option<LoadReport> {
         self.sent.get(&cookie).map(|s| s.report)
     }
 }
 
+fn divide(number: u16, loads: &[LoadReport], rounds: usize) -> Vec<(LoadPart, Vec<LoadReport>)> {
+    let mut chunks: Vec<_> = loads.chunks(PART_SIZE).map(<[_]>::to_vec).collect();
+    if chunks.is_empty() {
+        chunks.push(Vec::new());
+    }
+    let parts = u8::try_from(chunks.len()).unwrap_or(u8::MAX);
+    let part = |index| LoadPart {
+        round: number,
+        index,
+        parts,
+        rounds: u16::try_from(rounds).unwrap_or(u16::MAX),
+    };
+    (0..parts).map(part).zip(chunks).collect()
+}
+
 /// The loads that a member reported.
 #[derive(Debug, Clone, Default)]
 pub struct HeardLoads {
--- a/crates/forward/tests/beacon_parts.rs
+++ b/crates/forward/tests/beacon_parts.rs
@@ -111,6 +111,25 @@
     assert!(after_late.values().all(|l| (l.busy - 2.0).abs() < 0.01));
 }
 
+/// Guards against loads that an instance ignores after its hub has come to know it: until then the hub
+/// takes it for one of another zone, whose rounds are counted further.
+#[test]
+fn loads_are_taken_from_a_hub_that_did_not_know_the_zone() {
+    let (mut hub, mut leaf) = (member(1, 500), member(2, 38));
+    for i in 0..10 {
+        let beacons = round(&mut hub, 2, Role::Hub, &reports(0..9, 1.0), i);
+        deliver(&beacons, &mut leaf, i);
+    }
+    let from_leaf = round(&mut leaf, 1, Role::Leaf, &[], 400);
+    deliver(&from_leaf, &mut hub, 400);
+
+    let beacons = round(&mut hub, 2, Role::Hub, &reports(0..9, 2.0), 400);
+    deliver(&beacons, &mut leaf, 400);
+
+    let loads = leaf.peer_loads(Role::Leaf, at(410));
+    assert!(loads.values().all(|l| (l.busy - 2.0).abs() < 0.01));
+}
+
 /// Guards against subtracting from a hub's sum what this instance reported after the sum was made.
 #[test]
 fn a_leaf_subtracts_what_the_sum_includes() {
