--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod action;
 mod admission;
+mod answer_times;
 mod beacon;
 mod deadline;
 mod flow_message;
@@ -24,23 +25,26 @@
 mod lookup;
 mod membership;
 mod opening;
-mod place;
+mod placement;
 mod revision;
 mod route;
 mod segment;
 mod target;
+mod typical_time;
 mod view;
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
 pub use admission::LimitChange;
-pub use beacon::{Beacon, LoadReport, MemberReport};
+pub use beacon::{Beacon, LoadPart, LoadReport, MemberReport, ZonePosition};
 pub use flow_message::{FlowDatagram, FlowMessage};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
 pub use health::{HealthChange, Tally};
 pub use liveness::{Liveness, LivenessChange};
 pub use load::TargetLoad;
-pub use membership::{BEACON_INTERVAL, LoadSums, Member, Membership, OwnInstance, Role};
+pub use membership::{
+    BEACON_INTERVAL, LoadSums, Member, Membership, OwnInstance, RingPoint, Role, ZonePositions,
+};
 pub use revision::{Epoch, StoreRevision, ViewVersion};
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -8,8 +8,8 @@
 
 use tanager_core::{Clock, Incarnation};
 use tanager_forward::{
-    Beacon, Change, Epoch, EvacuationChange, Kind, Route, RouteTable, ServiceShare, StoreRevision,
-    Target, TargetNumber, TargetState,
+    Beacon, Change, Epoch, EvacuationChange, Kind, LoadPart, Route, RouteTable, ServiceShare,
+    StoreRevision, Target, TargetNumber, TargetState,
 };
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::task::{LocalSet, spawn_local};
@@ -342,6 +342,13 @@
             loads: Vec::new(),
             epoch: EPOCH,
             routes: 1,
+            load_part: LoadPart {
+                round: 1,
+                index: 0,
+                parts: 1,
+                rounds: 1,
+            },
+            position: None,
         };
         instance.membership.borrow_mut().apply_beacon(&higher, now);
         instance.view_unreadable.set(true);
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -113,14 +113,19 @@
         if role == Role::Hub {
             self.apply_peer_loads(now);
         }
+        let ring = self.membership.ring_point(role, now);
+        self.forwarder.set_ring_point(ring);
         let view = (self.forwarder.view().version(), Some(Duration::ZERO));
         let loads = self.forwarder.load_report(now);
         let recipients = self.membership.recipients(role, false, now);
-        let beacons = recipients.into_iter().map(|to| {
-            let beacon = self.membership.beacon(to, role, view, &loads, now);
-            (to, beacon)
-        });
-        let beacons = beacons.collect();
+        let positions = self.membership.zone_positions(now);
+        let mut beacons = Vec::new();
+        for to in recipients {
+            for mut beacon in self.membership.beacons(to, role, view, &loads, now) {
+                beacon.position = positions.get(to).filter(|_| beacon.hub);
+                beacons.push((to, beacon));
+            }
+        }
         self.forwarder.sweep(now);
         self.membership.expire(now);
         beacons
