Model unequal targets, routes, zones of clients, bursts and evacuations

The model had one service, targets of equal speed, two routes and instances that any client could reach, so that the loads of the specification could not be simulated. It now has routes with priorities and deadlines, up to two services, speeds, work with a tail, zones of clients, bursts of a route or a zone, slow targets, late acknowledgements, the delays between zones and two simple policies for comparison. Due actions are taken after packets and when next_due says so, as the real program does, and held packets are recovered from their bytes. Evacuations are prepared; the forwarder has none yet.

--- a/crates/standins/examples/bursts.rs
+++ b/crates/standins/examples/bursts.rs
@@ -10,7 +10,7 @@
 
 use miette::{IntoDiagnostic as _, Result};
 use pico_args::Arguments;
-use tanager_standins::model::{Report, Settings, simulate};
+use tanager_standins::model::{Burst, Report, Settings, simulate};
 
 /// Time at which the burst begins and the targets fail.
 const BURST_START: Duration = Duration::from_secs(2);
@@ -26,7 +26,7 @@
         instances: option_or_default(&mut arguments, "--instances", 8)?,
         targets: option_or_default(&mut arguments, "--targets", 18)?,
         rate: option_or_default(&mut arguments, "--rate", 300.0)?,
-        burst: Some((BURST_START, BURST_DURATION, burst)),
+        bursts: vec![Burst::new(BURST_START, BURST_DURATION, burst)],
         vanish: Some((BURST_START, vanish)),
         loss: option_or_default(&mut arguments, "--loss", 0.0)?,
         ..Settings::default()
--- a/crates/standins/src/model/callers.rs
+++ b/crates/standins/src/model/callers.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use tanager_core::Millis;
-use tanager_forward::{Cookie, FlowKey, Kind, Segment, SegmentKind};
+use tanager_forward::{Cookie, FlowKey, Segment, SegmentKind};
+
+use super::Cell;
 
-/// Time after which a request without an answer has failed.
-pub const DEADLINE: Duration = Duration::from_millis(2_500);
 /// Attempts of a request after the first one.
 pub const MAX_RETRIES: u8 = 2;
 /// Time after which an unanswered packet is retransmitted for the first time; it doubles with
@@ -17,10 +17,8 @@
 pub const OPENING_TIMEOUT: Duration = Duration::from_millis(1_400);
 /// Length of a request in bytes.
 const REQUEST_LENGTH: u16 = 500;
-/// The port of idempotent requests, whose flows callers keep open.
-pub const FEED_PORT: u16 = 443;
-/// The port of non-idempotent requests, each on a flow of its own.
-pub const ORDER_PORT: u16 = 444;
+/// The port of the first route.
+const FIRST_ROUTE_PORT: u16 = 443;
 
 /// The second byte of the lowest caller address.
 const FIRST_NETWORK: u8 = 64;
@@ -35,7 +33,10 @@
 /// The state of a request at its caller.
 #[derive(Debug, Clone, Copy)]
 pub struct Request {
-    pub kind: Kind,
+    /// What its outcome is counted by.
+    pub cell: Cell,
+    /// Time for which it runs at a target of speed 1.
+    pub work: Duration,
     pub started: Millis,
     pub attempts: u8,
     /// Whether it was answered or has failed.
@@ -46,6 +47,10 @@
 #[derive(Debug, Clone)]
 pub struct Connection {
     pub key: FlowKey,
+    /// Position of its route.
+    pub route: usize,
+    /// Zone of its caller and of the instance that gets its packets.
+    pub zone: u8,
     pub cookie: Cookie,
     /// The outstanding request.
     pub request: Option<RequestId>,
@@ -55,24 +60,24 @@
     pub confirmed: bool,
     sent: u32,
     received: u32,
+    /// What the caller has acknowledged of `received`.
+    acknowledged: u32,
 }
 
 impl Connection {
     /// Creates an unopened flow for a request.
-    pub fn new(id: ConnectionId, kind: Kind, request: RequestId) -> Self {
+    pub fn new(id: ConnectionId, cell: Cell, request: RequestId) -> Self {
         let [.., a, b, c, d] = id.to_be_bytes();
-        let port = match kind {
-            Kind::Idempotent => FEED_PORT,
-            Kind::NonIdempotent => ORDER_PORT,
-        };
         Self {
             key: FlowKey {
                 client: SocketAddrV4::new(
                     Ipv4Addr::new(100, FIRST_NETWORK + a, b, c),
                     FIRST_PORT + u16::from(d),
                 ),
-                service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
+                service: route_address(cell.route),
             },
+            route: cell.route,
+            zone: cell.zone,
             cookie: Cookie::NONE,
             request: Some(request),
             open: false,
@@ -80,6 +85,7 @@
             confirmed: false,
             sent: 1_000,
             received: 0,
+            acknowledged: 0,
         }
     }
 
@@ -120,9 +126,17 @@
         let segment = self.segment(SegmentKind::Data, REQUEST_LENGTH);
         self.sent += u32::from(REQUEST_LENGTH);
         self.confirmed = false;
+        self.acknowledged = self.received;
         segment
     }
 
+    /// Returns the request that a packet carries, unless the caller no longer waits for it.
+    pub fn request_of(&self, segment: &Segment) -> Option<RequestId> {
+        let end = segment.sequence + u32::from(segment.length);
+        self.request
+            .filter(|_| segment.length > 0 && end == self.sent)
+    }
+
     /// Returns a retransmission of the packet that carries the request.
     pub fn resend(&self) -> Segment {
         let mut segment = self.segment(SegmentKind::Data, REQUEST_LENGTH);
@@ -130,16 +144,23 @@
         segment
     }
 
-    /// Records an answer and returns its acknowledgement.
-    pub fn receive(&mut self, length: u32, last: bool) -> Segment {
+    /// Records an answer.
+    pub fn receive(&mut self, length: u32) {
         self.received += length;
-        self.closed = last;
-        let kind = if last {
-            SegmentKind::Finish
-        } else {
-            SegmentKind::Data
-        };
-        self.segment(kind, 0)
+    }
+
+    /// Returns the acknowledgement of an answer, unless a request has carried it or the flow is
+    /// closed.
+    pub fn acknowledge(&mut self) -> Option<Segment> {
+        let due = self.acknowledged != self.received && !self.closed;
+        self.acknowledged = self.received;
+        due.then(|| self.segment(SegmentKind::Data, 0))
+    }
+
+    /// Closes the flow and returns the packet that ends it.
+    pub fn finish(&mut self) -> Segment {
+        self.closed = true;
+        self.segment(SegmentKind::Finish, 0)
     }
 
     /// Closes the flow and returns the packet that aborts it.
@@ -148,3 +169,14 @@
         self.segment(SegmentKind::Abort, 0)
     }
 }
+
+/// Returns the address of a route.
+pub fn route_address(route: usize) -> SocketAddrV4 {
+    let port = FIRST_ROUTE_PORT + u16::try_from(route).unwrap_or(0);
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port)
+}
+
+/// Returns the position of the route of a flow.
+pub fn route_of(key: &FlowKey) -> usize {
+    usize::from(key.service.port() - FIRST_ROUTE_PORT)
+}
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -1,17 +1,19 @@
 //! Instances: the real forwarder and membership code, exchanging beacons.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
 use std::time::Duration;
 
 use tanager_core::{Incarnation, Millis, PublishedService, PublishedZone};
 use tanager_forward::{
-    Beacon, Change, Epoch, Forwarder, Kind, Membership, OwnInstance, Role, Route, RouteTable,
-    ServiceShare, StoreRevision, Target, TargetNumber, TargetState,
+    Action, Beacon, Change, DueAction, Epoch, Forwarder, Membership, OwnInstance, Role, Route,
+    RouteTable, Segment, ServiceShare, StoreRevision, Target, TargetNumber, TargetState,
 };
 
-use super::Settings;
-use super::callers::{DEADLINE, FEED_PORT, ORDER_PORT};
+use super::baseline::Baseline;
+use super::callers::route_address;
 use super::targets::SLOTS;
+use super::{Settings, packet};
 
 /// The revision of all targets and routes; nothing changes during a simulation.
 const REVISION: StoreRevision = StoreRevision::new(Epoch::new(0), 1);
@@ -20,8 +22,13 @@
 
 /// One instance.
 pub struct Instance {
-    pub forwarder: Forwarder,
-    pub membership: Membership,
+    pub zone: u8,
+    forwarder: Forwarder,
+    membership: Membership,
+    /// What decides instead of the forwarder.
+    baseline: Option<Baseline>,
+    /// When its due actions are taken next.
+    pub due: Option<Millis>,
 }
 
 /// Returns the address at which an instance receives beacons.
@@ -45,32 +52,34 @@
     format!("zone-{number}").parse().expect("a valid name")
 }
 
-fn service() -> PublishedService {
-    "screens".parse().expect("a valid name")
+fn service(number: u8) -> PublishedService {
+    format!("service-{number}").parse().expect("a valid name")
 }
 
-fn route(port: u16, kind: Kind, objective: Duration) -> Route {
-    Route {
-        name: format!("port-{port}"),
-        address: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
-        kind,
-        timeout: DEADLINE,
-        objective,
-        priority: 1,
+fn routes(settings: &Settings) -> Vec<Route> {
+    let routes = settings.routes.iter().enumerate();
+    let routes = routes.map(|(index, route)| Route {
+        name: route.name.to_owned(),
+        address: route_address(index),
+        kind: route.kind,
+        timeout: route.deadline,
+        objective: route.objective,
+        priority: route.priority,
         services: vec![ServiceShare {
-            service: service(),
+            service: service(route.service),
             weight: 1,
         }],
-    }
+    });
+    routes.collect()
 }
 
 fn target(index: u16, settings: &Settings) -> Target {
     let [high, low] = index.to_be_bytes();
     Target {
         number: number(usize::from(index)),
-        service: service(),
+        service: service(settings.service(index)),
         address: SocketAddrV4::new(Ipv4Addr::new(10, 1, high, low), 9_000),
-        zone: zone(u8::try_from(index % u16::from(settings.zones)).unwrap_or(0)),
+        zone: zone(settings.zone(usize::from(index))),
         slots: u32::from(SLOTS),
         state: TargetState::Ready,
         warmup: Duration::ZERO,
@@ -82,7 +91,8 @@
 impl Instance {
     /// Creates an instance that has applied all targets and routes.
     pub fn new(index: u16, settings: &Settings, seed: u64, now: Millis) -> Self {
-        let own_zone = u8::try_from(index % u16::from(settings.zones)).unwrap_or(0);
+        let own_zone = settings.zone(usize::from(index));
+        let seed = seed ^ u64::from(index);
         let own = OwnInstance {
             address: address(usize::from(index)),
             incarnation: Incarnation::new(1),
@@ -90,42 +100,87 @@
             capacity: 100,
         };
         let seeds = (0..settings.zones).map(|z| address(usize::from(z)));
-        let mut forwarder = Forwarder::new(zone(own_zone), seed ^ u64::from(index));
+        let mut forwarder = Forwarder::new(zone(own_zone), seed);
         for index in 0..settings.targets {
             forwarder.apply(Change::published(target(index, settings), REVISION), now);
         }
-        let routes = vec![
-            route(FEED_PORT, Kind::Idempotent, settings.objective),
-            route(ORDER_PORT, Kind::NonIdempotent, settings.objective),
-        ];
-        forwarder.apply_routes(RouteTable::new(1, REVISION, IDLE_TIMEOUT, routes));
+        forwarder.apply_routes(RouteTable::new(1, REVISION, IDLE_TIMEOUT, routes(settings)));
         forwarder.advance(REVISION);
         Self {
+            zone: own_zone,
             forwarder,
             membership: Membership::new(own, seeds.collect()),
+            baseline: Baseline::new(settings, seed),
+            due: None,
+        }
+    }
+
+    /// Decides about a client's packet.
+    pub fn handle_packet(&mut self, segment: &Segment, now: Millis) -> Action {
+        if let Some(baseline) = &mut self.baseline {
+            return baseline.handle_packet(segment);
         }
+        let packet = packet::encode(segment);
+        self.forwarder.handle_packet(segment, &packet, now)
+    }
+
+    /// Returns the due actions, and discards what the real program logs or sends to peers. All
+    /// packets of a flow reach the same instance, so peers know nothing about it.
+    pub fn take_due(&mut self, now: Millis) -> Vec<DueAction> {
+        let due = self.forwarder.take_due(now);
+        self.forwarder.take_messages();
+        self.forwarder.take_events(now);
+        self.forwarder.take_answer_times();
+        due
+    }
+
+    /// Returns when due actions have to be taken even if no packet arrives.
+    pub fn next_due(&mut self) -> Option<Millis> {
+        self.forwarder.next_due()
     }
 
+    /// Publishes the evacuation of a zone, or its end. The forwarder has no evacuations yet, so that
+    /// this has no effect so far.
+    #[expect(clippy::unused_self, reason = "see above")]
+    pub fn evacuate(&mut self, _zone: u8, _active: bool, _now: Millis) {}
+
     /// Returns the beacons of one round with their recipients, and removes expired state.
-    pub fn beacon_round(&mut self, now: Millis) -> Vec<(SocketAddrV4, Beacon)> {
+    pub fn beacon_round(&mut self, now: Millis) -> Vec<(SocketAddrV4, Rc<Beacon>)> {
+        if self.baseline.is_some() {
+            return Vec::new();
+        }
         self.forwarder.record_verified(now);
         let role = self.membership.role(Some(Duration::ZERO), now);
         if role == Role::Hub {
             self.apply_peer_loads(now);
         }
-        let view = (self.forwarder.view().version(), Some(Duration::ZERO));
-        let loads = self.forwarder.load_report(now);
         let recipients = self.membership.recipients(role, false, now);
-        let beacons = recipients.into_iter().map(|to| {
-            let beacon = self.membership.beacon(to, role, view, &loads, now);
-            (to, beacon)
-        });
-        let beacons = beacons.collect();
+        let is_near = |to: &SocketAddrV4| self.membership.is_same_zone(*to);
+        let (near, far): (Vec<_>, Vec<_>) = recipients.into_iter().partition(is_near);
+        let mut beacons = self.beacons(&near, role, now);
+        beacons.extend(self.beacons(&far, role, now));
         self.forwarder.sweep(now);
         self.membership.expire(now);
         beacons
     }
 
+    /// Returns the same beacon for several recipients, either all in this zone or none.
+    fn beacons(
+        &mut self,
+        to: &[SocketAddrV4],
+        role: Role,
+        now: Millis,
+    ) -> Vec<(SocketAddrV4, Rc<Beacon>)> {
+        let Some(first) = to.first() else {
+            return Vec::new();
+        };
+        let view = (self.forwarder.view().version(), Some(Duration::ZERO));
+        let loads = self.forwarder.load_report(now);
+        let beacon = self.membership.beacon(*first, role, view, &loads, now);
+        let beacon = Rc::new(beacon);
+        to.iter().map(|to| (*to, Rc::clone(&beacon))).collect()
+    }
+
     /// Applies a beacon of another instance.
     pub fn receive_beacon(&mut self, beacon: &Beacon, now: Millis) {
         self.membership.apply_beacon(beacon, now);
--- a/crates/standins/src/model/targets.rs
+++ b/crates/standins/src/model/targets.rs
@@ -1,6 +1,7 @@
 //! Targets with slots and a short queue.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::callers::{ConnectionId, RequestId};
 
@@ -28,8 +29,13 @@
 }
 
 /// A target.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Target {
+    pub zone: u8,
+    /// Work per time. Invariant: above 0.
+    speed: f64,
+    /// The factor by which requests take longer for a while.
+    pub slowdown: f64,
     /// Whether it has become unreachable; it then neither receives nor sends packets.
     pub unreachable: bool,
     /// Invariant: at most [`SLOTS`] requests.
@@ -39,6 +45,22 @@
 }
 
 impl Target {
+    pub const fn new(zone: u8, speed: f64) -> Self {
+        Self {
+            zone,
+            speed,
+            slowdown: 1.0,
+            unreachable: false,
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// Returns the time that work takes.
+    pub fn time(&self, work: Duration) -> Duration {
+        work.mul_f64(self.slowdown / self.speed)
+    }
+
     /// Starts, queues or refuses a request.
     pub fn submit(&mut self, work: Work) -> SubmitResult {
         if self.running.contains(&work) || self.waiting.contains(&work) {
--- a/crates/standins/src/model/world.rs
+++ b/crates/standins/src/model/world.rs
@@ -4,6 +4,7 @@
 mod requests;
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -11,17 +12,20 @@
 use tanager_core::{Clock, Millis};
 use tanager_forward::{BEACON_INTERVAL, Beacon, Cookie, Segment};
 
-use super::callers::{Connection, ConnectionId, DEADLINE, Request, RequestId};
+use super::callers::{Connection, ConnectionId, Request, RequestId};
 use super::instances::Instance;
+use super::settings::random_log;
 use super::targets::{Target, Work};
 use super::{Report, Settings};
 
 /// Time before the first request, in which instances receive each other's beacons.
 const WARMUP: Duration = Duration::from_secs(4);
-/// Network delay of a packet or beacon on any path.
-const PATH_DELAY: Duration = Duration::from_millis(2);
-/// Interval at which instances run their due actions.
-const TICK_INTERVAL: Duration = Duration::from_millis(10);
+/// Network delay of a packet or beacon within a zone.
+const ZONE_DELAY: Duration = Duration::from_millis(2);
+/// Network delay of a packet or beacon between zones.
+const REGION_DELAY: Duration = Duration::from_millis(4);
+/// Time from the publication of an evacuation after which no opening may reach the zone.
+const EVACUATION_TIME: Duration = Duration::from_secs(5);
 
 /// A message from a target or an instance to a caller.
 #[derive(Debug, Clone, Copy)]
@@ -47,14 +51,21 @@
     /// A target has finished running a request.
     ExecutionEnd(usize, Work),
     Deadline(RequestId, ConnectionId),
+    /// A caller acknowledges an answer, unless it has sent another request in the meantime.
+    Acknowledgement(ConnectionId),
     /// An instance sends a round of beacons.
     BeaconRound(usize),
     /// A beacon arrives at an instance.
-    BeaconReceived(usize, Box<Beacon>),
-    /// An instance runs its due actions.
-    Tick(usize),
+    BeaconReceived(usize, Rc<Beacon>),
+    /// An instance takes its due actions.
+    Due(usize),
     /// Some of the targets become unreachable.
     TargetFailure,
+    /// Some of the targets begin to take longer.
+    SlowdownStart,
+    SlowdownEnd,
+    /// The evacuation of a zone is published (`true`) or removed.
+    Evacuation(bool),
 }
 
 /// Callers, instances and targets, and the scheduled events.
@@ -74,8 +85,8 @@
     targets: Vec<Target>,
     requests: Vec<Request>,
     connections: Vec<Connection>,
-    /// Flows that callers keep open and that have no outstanding request.
-    idle: Vec<ConnectionId>,
+    /// Flows that callers keep open and that have no outstanding request, by route and zone.
+    idle: BTreeMap<(usize, u8), Vec<ConnectionId>>,
     report: Report,
 }
 
@@ -85,7 +96,8 @@
         let instances = 0..settings.instances;
         let instances = instances.map(|i| Instance::new(i, &settings, seed, now));
         let instances: Vec<_> = instances.collect();
-        let targets = (0..settings.targets).map(|_| Target::default());
+        let target = |t| Target::new(settings.zone(usize::from(t)), settings.speed(t));
+        let targets = (0..settings.targets).map(target).collect();
         let mut world = Self {
             rng: StdRng::seed_from_u64(seed),
             arrivals: StdRng::seed_from_u64(!seed),
@@ -94,10 +106,10 @@
             queue: BTreeMap::new(),
             scheduled: 0,
             instances,
-            targets: targets.collect(),
+            targets,
             requests: Vec::new(),
             connections: Vec::new(),
-            idle: Vec::new(),
+            idle: BTreeMap::new(),
             report: Report::default(),
             settings,
         };
@@ -109,17 +121,28 @@
         for index in 0..self.instances.len() {
             let phase = self.rng.random_range(0.0..1.0);
             self.schedule(BEACON_INTERVAL.mul_f64(phase), Event::BeaconRound(index));
-            self.schedule(TICK_INTERVAL.mul_f64(phase), Event::Tick(index));
         }
         if let Some((at, _)) = self.settings.vanish {
             self.schedule(WARMUP + at, Event::TargetFailure);
         }
+        if let Some(slowdown) = self.settings.slowdown.clone() {
+            let start = WARMUP + slowdown.start;
+            self.schedule(start, Event::SlowdownStart);
+            self.schedule(start + slowdown.length, Event::SlowdownEnd);
+        }
+        if let Some(evacuation) = self.settings.evacuation.clone() {
+            let start = WARMUP + evacuation.start;
+            self.schedule(start, Event::Evacuation(true));
+            self.schedule(start + evacuation.length, Event::Evacuation(false));
+        }
         self.schedule(WARMUP, Event::RequestArrival);
     }
 
     /// Runs the simulation until every request has ended.
     pub fn simulate(mut self) -> Report {
-        let end = Clock::START + WARMUP + self.settings.length + 2 * DEADLINE;
+        let deadlines = self.settings.routes.iter().map(|r| r.deadline);
+        let last = deadlines.max().unwrap_or_default();
+        let end = Clock::START + WARMUP + self.settings.length + 2 * last;
         while let Some(((at, _), event)) = self.queue.pop_first() {
             if at > end {
                 break;
@@ -142,7 +165,7 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::RequestArrival => self.handle_arrival(),
-            Event::PacketAtInstance(id, segment) => self.handle_packet(id, &segment),
+            Event::PacketAtInstance(id, segment) => self.handle_packet(id, segment),
             Event::PacketAtTarget(target, id, segment) => self.deliver(target, id, &segment),
             Event::ReplyAtCaller(id, reply) => self.handle_reply(id, reply),
             Event::RetransmissionTimeout(id, request, count) => self.retransmit(id, request, count),
@@ -152,26 +175,39 @@
             Event::BeaconReceived(index, beacon) => {
                 self.instances[index].receive_beacon(&beacon, self.now);
             }
-            Event::Tick(index) => self.tick(index),
+            Event::Acknowledgement(id) => self.acknowledge(id),
+            Event::Due(index) => self.take_due(index),
             Event::TargetFailure => self.fail_targets(),
+            Event::SlowdownStart => self.slow_targets(),
+            Event::SlowdownEnd => self.targets.iter_mut().for_each(|t| t.slowdown = 1.0),
+            Event::Evacuation(active) => self.evacuate(active),
         }
     }
 
-    /// Schedules the arrival of a message after the path delay, unless the path loses it.
-    fn send(&mut self, event: Event) {
+    /// Schedules the arrival of a message between two zones, unless the path loses it.
+    fn send(&mut self, from: u8, to: u8, event: Event) {
         let loss = self.settings.loss;
         if !self.rng.random_bool(loss) {
-            self.schedule(PATH_DELAY, event);
+            self.schedule(delay(from, to), event);
         }
     }
 
     fn send_packet(&mut self, id: ConnectionId, segment: Segment) {
-        self.send(Event::PacketAtInstance(id, segment));
+        let zone = self.connections[id].zone;
+        self.send(zone, zone, Event::PacketAtInstance(id, segment));
+    }
+
+    /// Returns the present second since the first request.
+    fn second(&self) -> u64 {
+        self.now.since(Clock::START + WARMUP).as_secs()
     }
 }
 
+fn delay(from: u8, to: u8) -> Duration {
+    if from == to { ZONE_DELAY } else { REGION_DELAY }
+}
+
 /// Returns an exponentially distributed random time.
 fn random_time(rng: &mut StdRng, mean: Duration) -> Duration {
-    let uniform: f64 = rng.random_range(0.0..1.0);
-    mean.mul_f64(-(1.0 - uniform).ln())
+    mean.mul_f64(-random_log(rng))
 }
--- a/crates/standins/src/model/world/requests.rs
+++ b/crates/standins/src/model/world/requests.rs
@@ -8,70 +8,101 @@
 
 use super::{Event, Reply, WARMUP, World, random_time};
 use crate::model::callers::{
-    Connection, ConnectionId, DEADLINE, MAX_RETRIES, OPENING_TIMEOUT, RETRANSMISSION_TIMEOUT,
-    Request, RequestId,
+    Connection, ConnectionId, MAX_RETRIES, OPENING_TIMEOUT, RETRANSMISSION_TIMEOUT, Request,
+    RequestId,
 };
+use crate::model::{Cell, Outcomes, RouteSettings};
 
-/// Share of requests that are idempotent and use flows that callers keep open.
-const FEED_SHARE: f64 = 0.75;
 /// Idle flows that callers keep open per request per second.
 const FLOWS_PER_RATE: f64 = 1.0;
 /// Length of an answer in bytes.
 const ANSWER_LENGTH: u32 = 2_000;
 /// Length of an answer by which a target refuses a request, in bytes.
 const REFUSAL_LENGTH: u32 = 150;
+/// Time within which callers acknowledge an answer on a flow that they keep open.
+const MAX_ACKNOWLEDGEMENT_DELAY: Duration = Duration::from_millis(50);
 
 impl World {
-    /// Returns the current number of requests per second.
-    fn rate(&self) -> f64 {
-        let since = self.arrival;
-        let factor = match self.settings.burst {
-            Some((from, time, factor)) if since >= from && since < from + time => factor,
-            _ => 1.0,
-        };
-        self.settings.rate * factor
+    fn route(&self, request: RequestId) -> &RouteSettings {
+        &self.settings.routes[self.requests[request].cell.route]
     }
 
-    pub(super) fn handle_arrival(&mut self) {
-        let mean = Duration::from_secs_f64(1.0 / self.rate());
+    fn outcomes(&mut self, request: RequestId) -> &mut Outcomes {
+        let cell = self.requests[request].cell;
+        self.report.outcomes_mut(cell)
+    }
+
+    /// Draws the route and zone of a request and the time to the next one.
+    fn draw_arrival(&mut self) -> (usize, u8) {
+        let rates = self.settings.rates(self.arrival);
+        let total: f64 = rates.iter().map(|(.., rate)| rate).sum();
+        let mean = Duration::from_secs_f64(1.0 / total);
         self.arrival += random_time(&mut self.arrivals, mean);
+        let mut point = self.arrivals.random_range(0.0..total);
+        let drawn = rates.iter().find(|(.., rate)| {
+            point -= rate;
+            point < 0.0
+        });
+        drawn.map_or((0, 0), |(route, zone, _)| (*route, *zone))
+    }
+
+    pub(super) fn handle_arrival(&mut self) {
+        let (route, zone) = self.draw_arrival();
         if self.arrival < self.settings.length {
             self.schedule_at(Clock::START + WARMUP + self.arrival, Event::RequestArrival);
         }
-        let feed = self.arrivals.random_bool(FEED_SHARE);
-        let kind = if feed {
-            Kind::Idempotent
-        } else {
-            Kind::NonIdempotent
-        };
-        self.report.asked += 1;
+        let work = self.settings.draw_work(route, &mut self.arrivals);
+        let second = self.second();
         self.requests.push(Request {
-            kind,
+            cell: Cell {
+                second,
+                route,
+                zone,
+            },
+            work,
             started: self.now,
             attempts: 0,
             finished: false,
         });
         let request = self.requests.len() - 1;
-        #[expect(clippy::cast_precision_loss, reason = "a small count")]
-        let has_spare_flows = self.idle.len() as f64 >= self.settings.rate * FLOWS_PER_RATE;
-        if kind == Kind::Idempotent && has_spare_flows {
-            let position = self.rng.random_range(0..self.idle.len());
-            let id = self.idle.swap_remove(position);
-            self.schedule(DEADLINE, Event::Deadline(request, id));
-            self.send_request(id, request);
-        } else {
-            self.open_flow(request);
+        self.outcomes(request).asked += 1;
+        match self.take_idle(route, zone) {
+            Some(id) => {
+                self.start_attempt(id, request);
+                self.send_request(id, request);
+            }
+            None => self.open_flow(request),
         }
     }
 
+    /// Takes an idle flow if the route keeps flows open and has enough of them.
+    fn take_idle(&mut self, route: usize, zone: u8) -> Option<ConnectionId> {
+        let settings = &self.settings;
+        let share = settings.routes[route].share / f64::from(settings.zones);
+        let idle = self.idle.get_mut(&(route, zone))?;
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let enough = idle.len() as f64 >= settings.rate * share * FLOWS_PER_RATE;
+        enough.then(|| {
+            let position = self.rng.random_range(0..idle.len());
+            idle.swap_remove(position)
+        })
+    }
+
+    /// Counts an attempt on a flow and schedules its end.
+    fn start_attempt(&mut self, id: ConnectionId, request: RequestId) {
+        self.outcomes(request).attempts += 1;
+        let since = self.now.since(self.requests[request].started);
+        let remaining = self.route(request).deadline.saturating_sub(since);
+        self.schedule(remaining, Event::Deadline(request, id));
+    }
+
     /// Opens a new flow for a request.
     fn open_flow(&mut self, request: RequestId) {
         let id = self.connections.len();
-        let connection = Connection::new(id, self.requests[request].kind, request);
+        let connection = Connection::new(id, self.requests[request].cell, request);
         let opening = connection.opening(0);
         self.connections.push(connection);
-        let remaining = DEADLINE.saturating_sub(self.now.since(self.requests[request].started));
-        self.schedule(remaining, Event::Deadline(request, id));
+        self.start_attempt(id, request);
         self.schedule(
             RETRANSMISSION_TIMEOUT,
             Event::RetransmissionTimeout(id, None, 1),
@@ -113,21 +144,22 @@
         let connection = &mut self.connections[id];
         connection.closed = true;
         let Some(request) = connection.request.take() else {
-            self.idle.retain(|c| *c != id);
+            let idle = self.idle.entry((connection.route, connection.zone));
+            idle.or_default().retain(|c| *c != id);
             return;
         };
         let opened = connection.open;
+        let repeatable = self.route(request).kind == Kind::Idempotent;
         let entry = &mut self.requests[request];
         if entry.finished {
             return;
         }
-        let may_retry = !opened || entry.kind == Kind::Idempotent;
-        if may_retry && entry.attempts < MAX_RETRIES {
+        if (!opened || repeatable) && entry.attempts < MAX_RETRIES {
             entry.attempts += 1;
             self.open_flow(request);
         } else {
             entry.finished = true;
-            self.report.record_failure(entry.kind);
+            self.outcomes(request).failed += 1;
         }
     }
 
@@ -135,9 +167,8 @@
         if self.connections[id].request != Some(request) || self.requests[request].finished {
             return;
         }
-        let entry = &mut self.requests[request];
-        entry.finished = true;
-        self.report.record_failure(entry.kind);
+        self.requests[request].finished = true;
+        self.outcomes(request).failed += 1;
         let abort = self.connections[id].abort();
         self.send_packet(id, abort);
     }
@@ -162,34 +193,55 @@
                 self.handle_answer(id, request);
             }
             Reply::Refused(request) if connection.request == Some(request) => {
+                self.outcomes(request).refused += 1;
                 self.handle_refusal(id);
             }
-            Reply::Reset => self.retry(id),
+            Reply::Reset => {
+                if let Some(request) = connection.request {
+                    self.outcomes(request).resets += 1;
+                }
+                self.retry(id);
+            }
             _ => {}
         }
     }
 
     fn handle_answer(&mut self, id: ConnectionId, request: RequestId) {
-        let entry = &mut self.requests[request];
-        entry.finished = true;
-        let latency = self.now.since(entry.started);
-        self.report.record_answer(latency, self.settings.objective);
-        let last = entry.kind != Kind::Idempotent;
+        let latency = self.now.since(self.requests[request].started);
+        let route = self.route(request);
+        let (in_time, long) = (latency <= route.objective, route.long_flows);
+        self.requests[request].finished = true;
+        let (cell, second) = (self.requests[request].cell, self.second());
+        self.report.record_answer(cell, latency, in_time, second);
         let connection = &mut self.connections[id];
         connection.request = None;
-        let acknowledgement = connection.receive(ANSWER_LENGTH, last);
-        if !last {
-            self.idle.push(id);
+        connection.receive(ANSWER_LENGTH);
+        if long {
+            self.idle
+                .entry((cell.route, cell.zone))
+                .or_default()
+                .push(id);
+            let delay = self.rng.random_range(0.0..1.0);
+            let delay = MAX_ACKNOWLEDGEMENT_DELAY.mul_f64(delay);
+            self.schedule(delay, Event::Acknowledgement(id));
+        } else {
+            let finish = connection.finish();
+            self.send_packet(id, finish);
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self, id: ConnectionId) {
+        if let Some(acknowledgement) = self.connections[id].acknowledge() {
+            self.send_packet(id, acknowledgement);
         }
-        self.send_packet(id, acknowledgement);
     }
 
     fn handle_refusal(&mut self, id: ConnectionId) {
-        self.report.refused += 1;
         let connection = &mut self.connections[id];
         // A refused request has not run, so it may be retried even if it is not idempotent.
         connection.open = false;
-        let finish = connection.receive(REFUSAL_LENGTH, true);
+        connection.receive(REFUSAL_LENGTH);
+        let finish = connection.finish();
         self.send_packet(id, finish);
         self.retry(id);
     }
--- a/crates/standins/tests/model.rs
+++ b/crates/standins/tests/model.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tanager_standins::model::{Report, Settings, simulate};
+use tanager_standins::model::{Burst, FEEDS, Report, Settings, simulate};
 
 /// Time at which a burst begins or targets fail.
 const EVENT_START: Duration = Duration::from_secs(2);
@@ -18,6 +18,11 @@
     sum
 }
 
+/// Returns the failed requests that could be repeated.
+fn failed_feeds(report: &Report) -> u64 {
+    report.total(|cell| cell.route == FEEDS).failed
+}
+
 /// A large fleet, in which an instance sends each target only one request in two seconds.
 fn large_fleet() -> Settings {
     Settings {
@@ -33,7 +38,8 @@
 fn all_requests_under_normal_load_are_answered_in_time() {
     let report = simulate_seeds(&Settings::default());
 
-    assert_eq!(report.within_goal, report.asked, "{report}");
+    let sum = report.sum();
+    assert_eq!(sum.in_time, sum.asked, "{report}");
     assert_eq!(report.wrong_resets, 0, "{report}");
 }
 
@@ -41,13 +47,13 @@
 #[test]
 fn a_burst_below_capacity_fails_no_request() {
     let settings = Settings {
-        burst: Some((EVENT_START, BURST_DURATION, 2.5)),
+        bursts: vec![Burst::new(EVENT_START, BURST_DURATION, 2.5)],
         ..Settings::default()
     };
 
     let report = simulate_seeds(&settings);
 
-    assert_eq!(report.failed, 0, "{report}");
+    assert_eq!(report.sum().failed, 0, "{report}");
 }
 
 /// Guards against requests that wait for failed targets until their deadline. Each instance of a
@@ -61,7 +67,7 @@
 
     let report = simulate_seeds(&settings);
 
-    assert_eq!(report.failed_feeds, 0, "{report}");
+    assert_eq!(failed_feeds(&report), 0, "{report}");
     assert_eq!(report.wrong_resets, 0, "{report}");
 }
 
@@ -75,7 +81,7 @@
 
     let report = simulate_seeds(&settings);
 
-    assert_eq!(report.failed_feeds, 0, "{report}");
+    assert_eq!(failed_feeds(&report), 0, "{report}");
 }
 
 /// Guards against policies that are compared under different loads.
@@ -86,7 +92,7 @@
         ..Settings::default()
     };
 
-    let request_count = |seed| simulate(&settings, seed).asked;
+    let request_count = |seed| simulate(&settings, seed).sum().asked;
 
     assert_eq!(request_count(3), request_count(3));
     assert_ne!(request_count(3), request_count(4));
--- a/crates/standins/tests/overload.rs
+++ b/crates/standins/tests/overload.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tanager_standins::model::{Report, Settings, simulate};
+use tanager_standins::model::{Burst, Report, Settings, simulate, two_routes};
 
 /// Requests that one target completes in a second: two at a time, 30 ms each.
 const TARGET_RATE: f64 = 2.0 / 0.03;
@@ -21,9 +21,9 @@
         instances,
         targets,
         rate: capacity(targets) * NORMAL_LOAD,
-        objective: Duration::from_millis(150),
+        routes: two_routes(Duration::from_millis(150)),
         length: START + DURATION,
-        burst: Some((START, DURATION, factor / NORMAL_LOAD)),
+        bursts: vec![Burst::new(START, DURATION, factor / NORMAL_LOAD)],
         ..Settings::default()
     }
 }
@@ -35,7 +35,7 @@
 /// Returns the answers within the objective per second of the overload, relative to the capacity.
 fn goodput(report: &Report, settings: &Settings) -> f64 {
     #[expect(clippy::cast_precision_loss, reason = "a small count")]
-    let in_time = report.within_goal as f64;
+    let in_time = report.sum().in_time as f64;
     let before = settings.rate * START.as_secs_f64();
     (in_time - before) / DURATION.as_secs_f64() / capacity(settings.targets)
 }
@@ -77,7 +77,7 @@
     let settings = overload(8, 18, 0.85);
 
     let failed: Vec<_> = (0..8)
-        .map(|seed| simulate(&settings, seed).failed)
+        .map(|seed| simulate(&settings, seed).sum().failed)
         .collect();
 
     assert!(failed.iter().all(|f| *f == 0), "failed by seed: {failed:?}");
