--- a/crates/standins/src/model/deployments.rs
+++ b/crates/standins/src/model/deployments.rs
@@ -13,10 +13,13 @@
 /// Position of the route of downloads, which have a service of their own.
 pub const DOWNLOADS: usize = 2;
 
-/// Mean work of requests other than downloads.
-const WORK: Duration = Duration::from_millis(30);
+/// Mean work of requests in the fleet with two routes.
+const SHORT_WORK: Duration = Duration::from_millis(30);
+/// Mean work of requests other than downloads in the deployments, whose 300 slots serve some 7,000
+/// requests per second.
+const WORK: Duration = Duration::from_millis(45);
 /// Mean work of downloads.
-const DOWNLOAD_WORK: Duration = Duration::from_millis(120);
+const DOWNLOAD_WORK: Duration = Duration::from_millis(180);
 /// Share of the arrivals that are downloads. One target in five serves them, and each takes four
 /// times as long as another request.
 const DOWNLOAD_SHARE: f64 = 1.0 / 17.0;
@@ -46,6 +49,7 @@
     for route in &mut routes {
         route.objective = objective;
         route.priority = 1;
+        route.work = SHORT_WORK;
     }
     routes[FEEDS].long_flows = true;
     routes
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -124,14 +124,9 @@
         self.forwarder.handle_packet(segment, &packet, now)
     }
 
-    /// Returns the due actions, and discards what the real program logs or sends to peers. All
-    /// packets of a flow reach the same instance, so peers know nothing about it.
+    /// Returns the due actions.
     pub fn take_due(&mut self, now: Millis) -> Vec<DueAction> {
-        let due = self.forwarder.take_due(now);
-        self.forwarder.take_messages();
-        self.forwarder.take_events(now);
-        self.forwarder.take_answer_times();
-        due
+        self.forwarder.take_due(now)
     }
 
     /// Returns when due actions have to be taken even if no packet arrives.
@@ -161,9 +156,18 @@
         beacons.extend(self.beacons(&far, role, now));
         self.forwarder.sweep(now);
         self.membership.expire(now);
+        self.discard_reports(now);
         beacons
     }
 
+    /// Discards what the real program logs or asks its peers. All packets of a flow reach the same
+    /// instance, so peers know nothing about it.
+    fn discard_reports(&mut self, now: Millis) {
+        self.forwarder.take_messages();
+        self.forwarder.take_events(now);
+        self.forwarder.take_answer_times();
+    }
+
     /// Returns the same beacon for several recipients, either all in this zone or none.
     fn beacons(
         &mut self,
--- a/crates/standins/src/model/world/packets.rs
+++ b/crates/standins/src/model/world/packets.rs
@@ -13,6 +13,8 @@
 
 /// Rounds times to the nearest millisecond rather than down, which would raise the capacity.
 const ROUNDING: Duration = Duration::from_micros(500);
+/// Time in which an instance handles the packets that arrive together before it takes due actions.
+const BATCH_TIME: Duration = Duration::from_millis(2);
 
 impl World {
     /// Returns the instance of the caller's zone to which a flow's packets are routed.
@@ -26,12 +28,12 @@
         zone + zones * (connection.key.distribution_hash() as usize % count)
     }
 
-    /// Handles a packet. Due actions are taken after all packets that arrive at the same time.
+    /// Handles a packet. Due actions are taken after the packets that arrive together with it.
     pub(super) fn handle_packet(&mut self, id: ConnectionId, segment: Segment) {
         let index = self.instance_of(id);
         let action = self.instances[index].handle_packet(&segment, self.now);
         self.apply_action(id, action, Some(segment));
-        self.schedule_due(index, self.now);
+        self.schedule_due(index, self.now + BATCH_TIME);
     }
 
     fn schedule_due(&mut self, index: usize, at: Millis) {
--- a/crates/standins/tests/model.rs
+++ b/crates/standins/tests/model.rs
@@ -1,22 +1,20 @@
 //! Policies of instances under load, in simulated time.
 
+mod load;
+
 use std::time::Duration;
 
-use tanager_standins::model::{Burst, FEEDS, Report, Settings, simulate};
+use load::simulate_sum;
+use tanager_standins::model::{
+    Burst, FEEDS, Policy, Report, Settings, Slowdown, long_flows, short_flows, simulate,
+};
 
 /// Time at which a burst begins or targets fail.
 const EVENT_START: Duration = Duration::from_secs(2);
 /// Duration of a burst.
 const BURST_DURATION: Duration = Duration::from_secs(3);
-
-/// Simulates settings with several seeds and adds up the reports.
-fn simulate_seeds(settings: &Settings) -> Report {
-    let mut sum = Report::default();
-    for seed in 0..4 {
-        sum.add(&simulate(settings, seed));
-    }
-    sum
-}
+/// Seeds for each load.
+const SEEDS: usize = 4;
 
 /// Returns the failed requests that could be repeated.
 fn failed_feeds(report: &Report) -> u64 {
@@ -36,7 +34,7 @@
 /// Guards against delayed and refused requests when the load is below the capacity.
 #[test]
 fn all_requests_under_normal_load_are_answered_in_time() {
-    let report = simulate_seeds(&Settings::default());
+    let report = simulate_sum(&Settings::default(), SEEDS);
 
     let sum = report.sum();
     assert_eq!(sum.in_time, sum.asked, "{report}");
@@ -51,7 +49,7 @@
         ..Settings::default()
     };
 
-    let report = simulate_seeds(&settings);
+    let report = simulate_sum(&settings, SEEDS);
 
     assert_eq!(report.sum().failed, 0, "{report}");
 }
@@ -65,7 +63,7 @@
         ..large_fleet()
     };
 
-    let report = simulate_seeds(&settings);
+    let report = simulate_sum(&settings, SEEDS);
 
     assert_eq!(failed_feeds(&report), 0, "{report}");
     assert_eq!(report.wrong_resets, 0, "{report}");
@@ -79,7 +77,7 @@
         ..Settings::default()
     };
 
-    let report = simulate_seeds(&settings);
+    let report = simulate_sum(&settings, SEEDS);
 
     assert_eq!(failed_feeds(&report), 0, "{report}");
 }
@@ -97,3 +95,39 @@
     assert_eq!(request_count(3), request_count(3));
     assert_ne!(request_count(3), request_count(4));
 }
+
+/// Guards against requests that the model loses or counts twice, and against a report that does not
+/// add up.
+#[test]
+fn each_request_has_one_outcome() {
+    let policies = [Policy::Forwarder, Policy::Random, Policy::LeastLoaded];
+    for (policy, fleet) in policies
+        .into_iter()
+        .zip([long_flows, short_flows, long_flows])
+    {
+        let fleet = fleet(5, 9);
+        let settings = Settings {
+            policy,
+            rate: fleet.capacity(),
+            bursts: vec![Burst::new(EVENT_START, BURST_DURATION, 2.0)],
+            slowdown: Some(Slowdown {
+                start: EVENT_START,
+                length: BURST_DURATION,
+                share: 0.5,
+                factor: 3.0,
+            }),
+            loss: 0.01,
+            ..fleet
+        };
+
+        let report = simulate(&settings, 5);
+
+        let sum = report.sum();
+        let served: f64 = (0..60).map(|s| report.served(s..s + 1)).sum();
+        #[expect(clippy::cast_precision_loss, reason = "a small count")]
+        let in_time = sum.in_time as f64;
+        assert!(sum.in_time > 0, "{report}");
+        assert_eq!(sum.asked, sum.in_time + sum.late + sum.failed, "{report}");
+        assert!((served - in_time).abs() < 0.5, "{served}: {report}");
+    }
+}
--- a/crates/standins/tests/overload.rs
+++ b/crates/standins/tests/overload.rs
@@ -1,72 +1,80 @@
 //! Overload: callers ask for more than the targets can do, so that all queues fill up.
 
-use std::time::Duration;
+mod load;
 
-use tanager_standins::model::{Burst, Report, Settings, simulate, two_routes};
+use load::{goodput_by_step, lowest_goodput, overload, simulate_drawn, small_fleet};
+use tanager_standins::model::{Settings, long_flows, short_flows};
 
-/// Requests that one target completes in a second: two at a time, 30 ms each.
-const TARGET_RATE: f64 = 2.0 / 0.03;
-/// Load before the overload, relative to the capacity.
-const NORMAL_LOAD: f64 = 0.5;
 /// Share of the targets' capacity that answers within the objective have to reach.
 const MIN_GOODPUT: f64 = 0.8;
-/// Time from the first request to the overload.
-const START: Duration = Duration::from_secs(2);
-/// Duration of the overload.
-const DURATION: Duration = Duration::from_secs(6);
-
-/// A fleet that is asked for a multiple of what its targets can do.
-fn overload(instances: u16, targets: u16, factor: f64) -> Settings {
-    Settings {
-        instances,
-        targets,
-        rate: capacity(targets) * NORMAL_LOAD,
-        routes: two_routes(Duration::from_millis(150)),
-        length: START + DURATION,
-        bursts: vec![Burst::new(START, DURATION, factor / NORMAL_LOAD)],
-        ..Settings::default()
-    }
+/// Seeds for a small fleet.
+const SEEDS: usize = 4;
+
+/// Guards against queues that turn all answers late just beyond the capacity.
+#[test]
+fn goodput_holds_just_beyond_the_capacity() {
+    let goodput = lowest_goodput(small_fleet(), 1.3, SEEDS);
+
+    assert!(goodput >= MIN_GOODPUT, "{goodput}");
+}
+
+/// The same far beyond the capacity.
+#[test]
+fn goodput_holds_at_three_times_the_capacity() {
+    let goodput = lowest_goodput(small_fleet(), 3.0, SEEDS);
+
+    assert!(goodput >= MIN_GOODPUT, "{goodput}");
 }
 
-fn capacity(targets: u16) -> f64 {
-    f64::from(targets) * TARGET_RATE
+/// Guards against attempts in vain that take the more of the capacity, the more is asked for.
+#[test]
+fn goodput_of_a_small_fleet_holds_far_beyond_the_capacity() {
+    let loads = [4.0, 6.0, 8.0];
+    let goodputs = loads.map(|load| lowest_goodput(small_fleet(), load, 1));
+
+    let holds = goodputs.iter().all(|g| *g >= MIN_GOODPUT);
+    assert!(holds, "at {loads:?} times the capacity: {goodputs:.3?}");
 }
 
-/// Returns the answers within the objective per second of the overload, relative to the capacity.
-fn goodput(report: &Report, settings: &Settings) -> f64 {
-    #[expect(clippy::cast_precision_loss, reason = "a small count")]
-    let in_time = report.sum().in_time as f64;
-    let before = settings.rate * START.as_secs_f64();
-    (in_time - before) / DURATION.as_secs_f64() / capacity(settings.targets)
+/// Asserts that the goodput of a fleet holds at several multiples of its capacity.
+fn assert_goodput(fleet: Settings, loads: &[f64]) {
+    let goodputs = goodput_by_step(fleet, loads);
+
+    println!("at {loads:?} times the capacity: {goodputs:.3?}");
+    assert!(goodputs.iter().all(|g| *g >= MIN_GOODPUT));
 }
 
-/// Returns the lowest goodput of several seeds at a multiple of the capacity.
-fn lowest_goodput(factor: f64) -> f64 {
-    let settings = overload(8, 18, factor);
-    let goodputs = (0..4).map(|seed| goodput(&simulate(&settings, seed), &settings));
-    goodputs.fold(f64::INFINITY, f64::min)
+/// Guards against targets whose queues are filled by many instances with few requests each, on flows
+/// for each request and with targets of unequal speed.
+#[test]
+fn goodput_of_63_instances_holds_beyond_the_capacity() {
+    assert_goodput(short_flows(63, 120), &[1.3, 3.0, 4.0]);
 }
 
-/// Guards against queues that turn all answers late just beyond the capacity.
+/// The same far beyond the capacity.
 #[test]
-fn goodput_holds_just_beyond_the_capacity() {
-    let goodput = lowest_goodput(1.3);
+fn goodput_of_63_instances_holds_far_beyond_the_capacity() {
+    assert_goodput(short_flows(63, 120), &[6.0, 8.0]);
+}
 
-    assert!(goodput >= MIN_GOODPUT, "{goodput}");
+/// Guards against the same on long flows, whose requests cannot be placed elsewhere.
+#[test]
+fn goodput_of_90_instances_holds_beyond_the_capacity() {
+    assert_goodput(long_flows(90, 120), &[1.3, 3.0, 4.0]);
 }
 
 /// The same far beyond the capacity.
 #[test]
-fn goodput_holds_at_three_times_the_capacity() {
-    let goodput = lowest_goodput(3.0);
-
-    assert!(goodput >= MIN_GOODPUT, "{goodput}");
+fn goodput_of_90_instances_holds_far_beyond_the_capacity() {
+    assert_goodput(long_flows(90, 120), &[6.0, 8.0]);
 }
 
 /// Guards against serving the fewer in time, the more is asked for.
 #[test]
 fn goodput_does_not_fall_with_more_load() {
-    let (beyond, far_beyond) = (lowest_goodput(1.3), lowest_goodput(4.0));
+    let fleet = small_fleet();
+    let beyond = lowest_goodput(fleet.clone(), 1.3, SEEDS);
+    let far_beyond = lowest_goodput(fleet, 4.0, SEEDS);
 
     assert!(far_beyond >= beyond, "{beyond} and {far_beyond}");
 }
@@ -74,11 +82,10 @@
 /// Guards against shedding that lets a fleet below its capacity lose requests.
 #[test]
 fn no_request_below_the_capacity_fails() {
-    let settings = overload(8, 18, 0.85);
+    let settings = overload(small_fleet(), 0.85);
 
-    let failed: Vec<_> = (0..8)
-        .map(|seed| simulate(&settings, seed).sum().failed)
-        .collect();
+    let reports = simulate_drawn(&settings, 2 * SEEDS);
 
+    let failed: Vec<_> = reports.iter().map(|r| r.sum().failed).collect();
     assert!(failed.iter().all(|f| *f == 0), "failed by seed: {failed:?}");
 }
