Print and draw the goodput over the load

The curve of docs/hard-load.md needs goodput at 1 to 8 times the capacity for the forwarder, random choice and the least loaded target. The example prints it for three fleets and draws it with plotters; tests and example share the simulation that changes its load step by step.

--- a/crates/standins/src/model.rs
+++ b/crates/standins/src/model.rs
@@ -11,12 +11,14 @@
 mod packet;
 mod report;
 mod settings;
+mod steps;
 mod targets;
 mod world;
 
 pub use deployments::{DOWNLOADS, FEEDS, ORDERS, long_flows, short_flows, two_routes};
 pub use report::{Cell, Outcomes, Report};
 pub use settings::{Burst, Evacuation, Policy, RouteSettings, Settings, Slowdown, Spread};
+pub use steps::{goodput, goodput_by_step};
 use world::World;
 
 /// Runs a simulation with a seed.
--- a/crates/standins/tests/load/mod.rs
+++ b/crates/standins/tests/load/mod.rs
@@ -5,7 +5,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use tanager_standins::model::{Burst, Report, Settings, simulate, two_routes};
+use tanager_standins::model::{Burst, Report, Settings, goodput, simulate, two_routes};
 
 /// Load before and after a burst, relative to the capacity.
 pub const NORMAL_LOAD: f64 = 0.5;
@@ -50,20 +50,24 @@
     burst(fleet, load / NORMAL_LOAD, 0)
 }
 
-/// Simulates settings with drawn seeds, which the test prints if it fails.
-pub fn simulate_drawn(settings: &Settings, count: usize) -> Vec<Report> {
+/// Draws seeds and prints them, so that the output of a failed test names them.
+pub fn draw_seeds(count: usize) -> Vec<u64> {
     let repeated = std::env::var(SEED_VARIABLE).ok();
     let repeated = repeated.map(|s| s.parse().expect("a seed is a number"));
     let seeds: Vec<u64> = match repeated {
         Some(seed) => vec![seed],
         None => (0..count).map(|_| rand::random()).collect(),
     };
-    let simulate_seed = |seed: u64| {
-        let report = simulate(settings, seed);
-        println!("{SEED_VARIABLE}={seed}: {report}");
-        report
-    };
-    seeds.into_iter().map(simulate_seed).collect()
+    for seed in &seeds {
+        println!("{SEED_VARIABLE}={seed}");
+    }
+    seeds
+}
+
+/// Simulates settings with drawn seeds.
+pub fn simulate_drawn(settings: &Settings, count: usize) -> Vec<Report> {
+    let seeds = draw_seeds(count).into_iter();
+    seeds.map(|seed| simulate(settings, seed)).collect()
 }
 
 /// Simulates settings with drawn seeds and adds up the reports.
@@ -75,12 +79,6 @@
     sum
 }
 
-/// Returns the goodput of a window: the answers within the objective per second, relative to the
-/// capacity.
-pub fn goodput(report: &Report, settings: &Settings, window: Range<u64>) -> f64 {
-    report.served(window) / settings.capacity()
-}
-
 /// Returns the lowest goodput of drawn seeds during an overload.
 pub fn lowest_goodput(fleet: Settings, load: f64, count: usize) -> f64 {
     let settings = overload(fleet, load);
@@ -88,17 +86,3 @@
     let goodputs = reports.iter().map(|r| goodput(r, &settings, BURST));
     goodputs.fold(f64::INFINITY, f64::min)
 }
-
-/// Returns the goodput in each second of an overload that changes every second.
-pub fn goodput_by_step(fleet: Settings, loads: &[f64]) -> Vec<f64> {
-    let steps = START..START + loads.len() as u64;
-    let mut settings = constant(fleet, NORMAL_LOAD, steps.end);
-    for (second, load) in steps.clone().zip(loads) {
-        let start = Duration::from_secs(second);
-        let step = Burst::new(start, Duration::from_secs(1), load / NORMAL_LOAD);
-        settings.bursts.push(step);
-    }
-    let report = &simulate_drawn(&settings, 1)[0];
-    let goodputs = steps.map(|s| goodput(report, &settings, s..s + 1));
-    goodputs.collect()
-}
--- a/crates/standins/tests/overload.rs
+++ b/crates/standins/tests/overload.rs
@@ -2,8 +2,8 @@
 
 mod load;
 
-use load::{goodput_by_step, lowest_goodput, overload, simulate_drawn, small_fleet};
-use tanager_standins::model::{Settings, long_flows, short_flows};
+use load::{draw_seeds, lowest_goodput, overload, simulate_drawn, small_fleet};
+use tanager_standins::model::{Settings, goodput_by_step, long_flows, short_flows};
 
 /// Share of the targets' capacity that answers within the objective have to reach.
 const MIN_GOODPUT: f64 = 0.8;
@@ -37,8 +37,8 @@
 }
 
 /// Asserts that the goodput of a fleet holds at several multiples of its capacity.
-fn assert_goodput(fleet: Settings, loads: &[f64]) {
-    let goodputs = goodput_by_step(fleet, loads);
+fn assert_goodput(fleet: &Settings, loads: &[f64]) {
+    let goodputs = goodput_by_step(fleet, loads, 1, draw_seeds(1)[0]);
 
     println!("at {loads:?} times the capacity: {goodputs:.3?}");
     assert!(goodputs.iter().all(|g| *g >= MIN_GOODPUT));
@@ -48,25 +48,25 @@
 /// for each request and with targets of unequal speed.
 #[test]
 fn goodput_of_63_instances_holds_beyond_the_capacity() {
-    assert_goodput(short_flows(63, 120), &[1.3, 3.0, 4.0]);
+    assert_goodput(&short_flows(63, 120), &[1.3, 3.0, 4.0]);
 }
 
 /// The same far beyond the capacity.
 #[test]
 fn goodput_of_63_instances_holds_far_beyond_the_capacity() {
-    assert_goodput(short_flows(63, 120), &[6.0, 8.0]);
+    assert_goodput(&short_flows(63, 120), &[6.0, 8.0]);
 }
 
 /// Guards against the same on long flows, whose requests cannot be placed elsewhere.
 #[test]
 fn goodput_of_90_instances_holds_beyond_the_capacity() {
-    assert_goodput(long_flows(90, 120), &[1.3, 3.0, 4.0]);
+    assert_goodput(&long_flows(90, 120), &[1.3, 3.0, 4.0]);
 }
 
 /// The same far beyond the capacity.
 #[test]
 fn goodput_of_90_instances_holds_far_beyond_the_capacity() {
-    assert_goodput(long_flows(90, 120), &[6.0, 8.0]);
+    assert_goodput(&long_flows(90, 120), &[6.0, 8.0]);
 }
 
 /// Guards against serving the fewer in time, the more is asked for.
