Limit the openings that cold targets receive where a rate is published

Cause: a target that has just started takes only so many openings per second, and all instances together sent it as many as their loads suggested.

Change: the configuration's services publish a rate, which travels with the routes. Deployments without a rate send no message and place flows as before. An instance that hears from nobody, because the hub does not know it, is now answered by those it sends beacons to.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -61,6 +61,8 @@
     NoRoutes,
     /// Its service is overloaded. The client retransmits it.
     Overloaded,
+    /// It repeats an opening to a cold target whose rate does not permit it now.
+    ColdTarget,
 }
 
 impl fmt::Display for DropReason {
@@ -71,6 +73,7 @@
             Self::UnknownTarget => "unknown-target",
             Self::NoRoutes => "no-routes",
             Self::Overloaded => "overloaded",
+            Self::ColdTarget => "cold-target",
         })
     }
 }
@@ -88,6 +91,8 @@
     TargetLost,
     /// The service is overloaded, and the flow has not opened.
     Overloaded,
+    /// All targets that could take the flow are cold, and their rate does not permit it now.
+    ColdTargets,
 }
 
 impl fmt::Display for ResetReason {
@@ -98,6 +103,7 @@
             Self::TargetGone => "target-gone",
             Self::TargetLost => "target-lost",
             Self::Overloaded => "overloaded",
+            Self::ColdTargets => "cold-targets",
         })
     }
 }
@@ -117,6 +123,8 @@
         load: f64,
         /// Number of ready targets of the service.
         candidates: usize,
+        /// Number of further ones that are cold and whose rate permitted no opening.
+        withheld: usize,
         /// 0 for the first target, then one more for each target that did not answer.
         attempt: u8,
     },
@@ -161,6 +169,13 @@
     Liveness(LivenessChange),
     /// A target started or stopped failing requests.
     Health(HealthChange),
+    /// This instance started or stopped holding grants to open flows to cold targets with a rate.
+    Grants {
+        /// Number of cold targets that it may open flows to.
+        granted: usize,
+        /// Number of all cold targets of its zone with a rate.
+        cold: usize,
+    },
     /// The requests in flight to a service started or stopped being limited.
     Limit(LimitChange),
 }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -9,6 +9,7 @@
 mod reports;
 mod resets;
 mod updates;
+mod warmup;
 
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 use crate::view::View;
 use crate::{
     Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, ResetReason,
-    Route, Segment, SegmentKind, TargetNumber,
+    Route, Segment, SegmentKind, TargetNumber, WarmupLimiter,
 };
 pub use reports::Gauges;
 
@@ -61,6 +62,9 @@
     newly_lost: Vec<TargetNumber>,
     loads: Loads,
     admission: Admission,
+    warmup: WarmupLimiter,
+    /// Whether this instance held grants for cold targets when they were last recorded.
+    holds_grants: bool,
     rng: StdRng,
     events: Vec<Event>,
     answer_times: Vec<Duration>,
@@ -88,6 +92,8 @@
             newly_lost: Vec::new(),
             loads: Loads::default(),
             admission: Admission::default(),
+            warmup: WarmupLimiter::default(),
+            holds_grants: false,
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
             answer_times: Vec::new(),
@@ -177,6 +183,7 @@
         self.liveness.retain(|n| view.get(n).is_some());
         self.loads.retain(|n| view.get(n).is_some());
         self.health.retain(|n| view.get(n).is_some());
+        self.warmup.retain(|n| view.get(n).is_some());
         self.health
             .retain_routes(|address| view.routes().find(address).is_some());
         for change in self.health.changes(now) {
@@ -210,6 +217,7 @@
             liveness: &self.liveness,
             health: &self.health,
             loads: &self.loads,
+            warmup: &self.warmup,
             now,
         };
         placement.choose(service, tried, &mut self.rng)
@@ -221,8 +229,8 @@
     }
 
     /// Forwards a packet that opens a flow.
-    fn open_at(&self, target: TargetNumber) -> Result<Forward, DropReason> {
-        self.forward_with(target, target.opening_cookie())
+    fn open_at(&mut self, target: TargetNumber, now: Millis) -> Result<Forward, DropReason> {
+        self.send_opening(target, target.opening_cookie(), now)
     }
 
     fn forward_with(&self, target: TargetNumber, cookie: Cookie) -> Result<Forward, DropReason> {
@@ -287,6 +295,7 @@
             target: choice.target,
             load: choice.load,
             candidates: choice.candidates,
+            withheld: choice.withheld,
             attempt,
         });
     }
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -13,7 +13,7 @@
 use crate::lookup::Admission;
 use crate::view::Evidence;
 use crate::{
-    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, Liveness, Segment,
+    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Liveness, Segment,
     SegmentKind, TargetNumber, TargetState,
 };
 
@@ -100,7 +100,7 @@
         if let Some(flow) = self.flows.get_mut(key) {
             flow.binding = Binding::Confirmed;
         }
-        self.correct_half_open(key);
+        self.correct_half_open(key, now);
     }
 
     /// Binds the flow of a packet to its target unless it is bound.
@@ -177,7 +177,7 @@
             flow.acknowledged = segment.acknowledged;
         }
         if confirmed {
-            self.confirm(&key);
+            self.confirm(&key, now);
         }
         if segment.kind != SegmentKind::Abort {
             self.liveness.record_response(target, now);
@@ -227,7 +227,7 @@
         };
         if segment.cookie == flow.target.cookie() {
             if !flow.is_confirmed() && super::is_after(segment.acknowledged, flow.acknowledged) {
-                self.confirm(&key);
+                self.confirm(&key, now);
             }
             return;
         }
@@ -238,29 +238,29 @@
         match evidence {
             Evidence::Open(named) if !confirmed => {
                 self.rebind(&key, named, now);
-                self.confirm(&key);
+                self.confirm(&key, now);
             }
             // The client has received the answer of a target that does not know where the flow is
             // open.
-            Evidence::Opening(named) if confirmed && named != target => self.correct(&key),
+            Evidence::Opening(named) if confirmed && named != target => self.correct(&key, now),
             Evidence::Open(_) | Evidence::Opening(_) => {}
         }
     }
 
     /// Records that the target of an open flow has sent data of the flow.
-    fn confirm(&mut self, key: &FlowKey) {
+    fn confirm(&mut self, key: &FlowKey, now: Millis) {
         let Some(flow) = self.flows.get_mut(key) else {
             return;
         };
         flow.binding = Binding::Confirmed;
         if flow.opened_elsewhere || flow.half_open.is_some() {
-            self.correct(key);
+            self.correct(key, now);
         }
     }
 
     /// Tells the targets that were tried in vain for a flow where it is open, or lets the instance do
     /// so that tried them.
-    fn correct(&mut self, key: &FlowKey) {
+    fn correct(&mut self, key: &FlowKey, now: Millis) {
         let Some(flow) = self.flows.get(key) else {
             return;
         };
@@ -272,13 +272,13 @@
                 confirmed: true,
             });
         }
-        self.correct_half_open(key);
+        self.correct_half_open(key, now);
     }
 
     /// Sends the opening of a flow, with the cookie of its target, to the other targets that were
     /// tried: they repeat the last cookie that they received. Targets that are leaving are left out,
     /// since they must not receive an opening late.
-    fn correct_half_open(&mut self, key: &FlowKey) {
+    fn correct_half_open(&mut self, key: &FlowKey, now: Millis) {
         let Some(flow) = self.flows.get(key) else {
             return;
         };
@@ -290,17 +290,20 @@
         let entries = others.filter_map(|n| self.view.get(*n));
         let usable =
             entries.filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready);
-        let corrections = usable.map(|entry| DueAction {
-            flow: *key,
-            action: Action::Forward(Forward {
-                address: entry.target.address,
-                target: entry.target.number,
-                cookie: target.cookie(),
-            }),
-            packet: half_open.packet.clone(),
-        });
+        let usable: Vec<_> = usable.map(|e| e.target.number).collect();
+        let packet = half_open.packet.clone();
         let before = self.corrections.len();
-        self.corrections.extend(corrections);
+        for number in usable {
+            // A cold target whose rate does not permit the opening now is corrected later, when the
+            // client repeats its cookie.
+            if let Ok(forward) = self.send_opening(number, target.cookie(), now) {
+                self.corrections.push(DueAction {
+                    flow: *key,
+                    action: Action::Forward(forward),
+                    packet: packet.clone(),
+                });
+            }
+        }
         let others = self.corrections.len() - before;
         if others > 0 {
             self.record_event(Event::HalfOpenCorrected {
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -29,7 +29,8 @@
             return self.reject_unrouted(key, now);
         };
         let Some(choice) = self.choose(&service, &[], now) else {
-            return Ok(self.reset(key, None, ResetReason::NoTarget, 0));
+            let reason = self.no_target_reason(&service, now);
+            return Ok(self.reset(key, None, reason, 0));
         };
         if self.sheds(&key, choice.target, None, now) {
             return Ok(self.reset(key, None, ResetReason::Overloaded, 0));
@@ -45,7 +46,7 @@
             self.start_counting(&key, now);
         }
         self.record_placement(key, service, choice, 0);
-        self.open_at(choice.target).map(Action::Forward)
+        self.open_at(choice.target, now).map(Action::Forward)
     }
 
     /// Handles the retransmission of an opening packet, if its flow is in the table.
@@ -62,15 +63,15 @@
         flow.last_seen = now;
         let target = flow.target;
         if flow.is_open() {
-            return Some(self.forward_to(target));
+            return Some(self.send_opening(target, target.cookie(), now));
         }
         self.openings.record_retransmission(&key);
         if self.openings.get(&key).is_some_and(|o| now < o.due) {
-            return Some(self.open_at(target));
+            return Some(self.open_at(target, now));
         }
         self.liveness.record_retransmission(target, key, now);
         let replaced = self.replace(&key, now);
-        Some(replaced.map_or_else(|| self.open_at(target), Ok))
+        Some(replaced.map_or_else(|| self.open_at(target, now), Ok))
     }
 
     /// Places a flow that is being opened on another target.
@@ -85,7 +86,7 @@
         self.openings.retry(*key, choice.target, now);
         let attempt = u8::try_from(tried.len()).unwrap_or(u8::MAX);
         self.record_placement(*key, service, choice, attempt);
-        self.open_at(choice.target).ok()
+        self.open_at(choice.target, now).ok()
     }
 
     /// Records that a flow's target did not answer the opening in time.
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -22,6 +22,10 @@
     pub lost: usize,
     /// Targets that fail requests.
     pub failing: usize,
+    /// Cold targets of the local zone whose services publish a rate.
+    pub cold: usize,
+    /// Those of them to which this instance may open flows.
+    pub granted: usize,
 }
 
 impl Forwarder {
@@ -68,6 +72,8 @@
             suspect,
             lost,
             failing: self.health.failing_count(),
+            cold: self.cold_targets(now).len(),
+            granted: self.warmup.granted(now),
         }
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -25,11 +25,13 @@
 mod membership;
 mod opening;
 mod place;
+mod placement;
 mod revision;
 mod route;
 mod segment;
 mod target;
 mod view;
+mod warmup_rate;
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
 pub use admission::LimitChange;
@@ -41,8 +43,13 @@
 pub use liveness::{Liveness, LivenessChange};
 pub use load::TargetLoad;
 pub use membership::{BEACON_INTERVAL, LoadSums, Member, Membership, OwnInstance, Role};
+pub use placement::cold::{
+    ColdTarget, WarmupBounds, WarmupGrant, WarmupLimiter, WarmupMessage, WarmupRequest,
+    ZoneStanding,
+};
 pub use revision::{Epoch, StoreRevision, ViewVersion};
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
 pub use target::{Cookie, Target, TargetNumber, TargetState};
 pub use view::{Change, Delta, Evidence, TargetEntry, UpdateEffect, View};
+pub use warmup_rate::{ServiceRate, WarmupRate, WarmupRates};
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -13,7 +13,7 @@
 
 use tanager_core::{FastMap, Incarnation, Millis};
 
-use crate::{Beacon, LoadReport, MemberReport, StoreRevision, ViewVersion};
+use crate::{Beacon, LoadReport, MemberReport, StoreRevision, ViewVersion, ZoneStanding};
 pub use loads::LoadSums;
 
 /// Interval between beacons.
@@ -188,6 +188,50 @@
             .filter(move |(_, m)| !m.leaving && now.since(m.last_seen) <= MEMBER_TIMEOUT)
     }
 
+    /// Returns what this instance knows of its own zone.
+    #[must_use]
+    pub fn zone_standing(&self, now: Millis) -> ZoneStanding {
+        let zone = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
+        let heard = |m: &Member| {
+            let direct = m.direct.as_ref();
+            direct.is_some_and(|d| now.since(d.last_seen) <= MEMBER_TIMEOUT)
+        };
+        ZoneStanding {
+            own: self.own.address,
+            incarnation: self.own.incarnation,
+            zone: self.own.zone,
+            hub: self.zone_hub(now),
+            members: u32::try_from(zone.count())
+                .unwrap_or(u32::MAX)
+                .saturating_add(1),
+            connected: self.seeds.is_empty() || self.members.values().any(heard),
+        }
+    }
+
+    /// Returns whether the sender of a beacon is in the local zone and does not know the zone's hub.
+    /// The hub does not know it either, so it has to be answered: it hears from nobody else.
+    #[must_use]
+    pub fn misses_hub(&self, beacon: &Beacon, now: Millis) -> bool {
+        let hub = self.zone_hub(now);
+        let known = beacon.members.iter().any(|m| m.address == hub);
+        beacon.zone == self.own.zone && beacon.from != hub && hub != self.own.address && !known
+    }
+
+    /// Returns the highest ranked instance of the local zone, perhaps this one.
+    fn zone_hub(&self, now: Millis) -> SocketAddrV4 {
+        let own_rank = rank(self.own.address, self.own.capacity);
+        let own = (self.store_reachable, own_rank, self.own.address);
+        let zone = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
+        let others = zone.map(|(a, m)| (m.store_reachable, rank(*a, m.capacity), *a));
+        let highest = others.max().unwrap_or(own);
+        // The others of the zone no longer choose an instance that is leaving.
+        if self.leaving {
+            highest.2
+        } else {
+            highest.max(own).2
+        }
+    }
+
     /// Evicts instances that have sent no beacon within the retention time.
     pub fn expire(&mut self, now: Millis) {
         self.members
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -11,7 +11,7 @@
 use crate::liveness::LivenessTracker;
 use crate::load::Loads;
 use crate::view::{TargetEntry, View};
-use crate::{Liveness, TargetNumber, TargetState};
+use crate::{Liveness, TargetNumber, TargetState, WarmupLimiter};
 
 /// Load added to a target in another zone, in requests per slot. Traffic between zones has a cost,
 /// and a network partition between zones ends its flows.
@@ -40,6 +40,8 @@
     pub load: f64,
     /// Number of ready targets of the service.
     pub candidates: usize,
+    /// Number of further ones that are cold and whose rate permits no opening now.
+    pub withheld: usize,
 }
 
 /// Inputs of a placement decision.
@@ -50,6 +52,7 @@
     pub liveness: &'a LivenessTracker,
     pub health: &'a Health,
     pub loads: &'a Loads,
+    pub warmup: &'a WarmupLimiter,
     pub now: Millis,
 }
 
@@ -61,9 +64,11 @@
         tried: &[TargetNumber],
         rng: &mut StdRng,
     ) -> Option<Choice> {
-        let accepts =
+        let ready =
             |e: &&TargetEntry| e.target.service == *service && e.target.state == TargetState::Ready;
-        let candidates: Vec<_> = self.view.published().filter(accepts).collect();
+        let mut candidates: Vec<_> = self.view.published().filter(ready).collect();
+        let all = candidates.len();
+        candidates.retain(|e| self.warmup.accepts(e, self.view, self.now));
         let untried = candidates
             .iter()
             .copied()
@@ -86,6 +91,7 @@
             target,
             load,
             candidates: candidates.len(),
+            withheld: all - candidates.len(),
         })
     }
 
--- /dev/null
+++ b/crates/forward/src/placement/mod.rs
@@ -0,0 +1,3 @@
+//! Parts of the placement of new flows.
+
+pub mod cold;
--- a/crates/forward/src/route.rs
+++ b/crates/forward/src/route.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::{FastMap, PublishedService};
 
-use crate::{FlowKey, StoreRevision};
+use crate::warmup_rate::read_rates;
+use crate::{FlowKey, StoreRevision, WarmupRate, WarmupRates};
 
 /// Whether the requests of a route may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -78,6 +79,10 @@
     /// Time without packets after which a flow may be removed.
     pub idle_timeout: Duration,
     routes: Vec<Route>,
+    /// The rates at which cold targets may receive openings; `None` if an earlier build sent the
+    /// table. Invariant: the last field that is sent, which earlier builds ignore.
+    #[serde(deserialize_with = "read_rates")]
+    rates: Option<WarmupRates>,
     #[serde(skip)]
     index: FastMap<SocketAddrV4, usize>,
 }
@@ -96,12 +101,51 @@
             revision,
             idle_timeout,
             routes,
+            rates: Some(WarmupRates::default()),
             index: FastMap::default(),
         };
         table.reindex();
         table
     }
 
+    /// Returns the table with the published rates of services.
+    #[must_use]
+    pub fn with_rates(mut self, rates: WarmupRates) -> Self {
+        self.rates = Some(rates);
+        self
+    }
+
+    /// Returns the rate at which cold targets of a service may receive openings.
+    #[must_use]
+    pub fn warmup_rate(&self, service: &PublishedService) -> WarmupRate {
+        let rates = self.rates.as_ref();
+        rates.map_or(WarmupRate::NONE, |rates| rates.get(service))
+    }
+
+    /// Returns whether any service publishes a rate.
+    #[must_use]
+    pub fn has_rates(&self) -> bool {
+        self.rates.as_ref().is_some_and(|rates| !rates.is_empty())
+    }
+
+    /// Returns whether the table comes from an earlier build, which does not send rates.
+    pub(crate) const fn lacks_rates(&self) -> bool {
+        self.rates.is_none()
+    }
+
+    /// Returns whether this table is to replace another one.
+    pub(crate) fn replaces(&self, other: &Self) -> bool {
+        let adds_rates = other.lacks_rates() && !self.lacks_rates();
+        self.version > other.version || (self.version == other.version && adds_rates)
+    }
+
+    /// Adds the rates in force of services whose published ones could not be read.
+    pub(crate) fn retain_unread_rates(&mut self, in_force: &Self) {
+        if let (Some(rates), Some(earlier)) = (&mut self.rates, &in_force.rates) {
+            rates.retain_unread(earlier);
+        }
+    }
+
     /// Rebuilds the index, which is not sent between instances.
     pub(crate) fn reindex(&mut self) {
         self.index.clear();
--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -102,6 +102,17 @@
         }
     }
 
+    /// Returns the version to read a peer's view with. If the routes come from an earlier build,
+    /// which does not send rates, they are read again.
+    #[must_use]
+    pub fn version_to_read(&self) -> ViewVersion {
+        let mut version = self.version();
+        if self.routes.lacks_rates() {
+            version.routes = 0;
+        }
+        version
+    }
+
     /// Returns a number that increases with each change of this view.
     #[must_use]
     pub const fn generation(&self) -> u64 {
@@ -228,11 +239,13 @@
         self.apply_listed(change, now)
     }
 
-    /// Applies routes if their version is newer than the present one. Returns whether it was.
+    /// Applies routes if their version is newer than the present one, or adds rates to it. Returns
+    /// whether they were applied.
     pub fn apply_routes(&mut self, mut routes: RouteTable) -> bool {
-        if routes.version <= self.routes.version {
+        if !routes.replaces(&self.routes) {
             return false;
         }
+        routes.retain_unread_rates(&self.routes);
         routes.reindex();
         self.routes = Arc::new(routes);
         self.generation += 1;
--- /dev/null
+++ b/crates/forward/tests/cold_rate_bound.rs
@@ -0,0 +1,450 @@
+//! The bound on the openings that all instances together send to a cold target, while instances
+//! start, stop, pause and are cut off, and their memberships differ and lag.
+//!
+//! Every instance sends each cold target as many openings as its limiter allows. Proptest prints the
+//! failing fleet with its seed.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::ops::Range;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use tanager_core::{Clock, FastMap, Incarnation, Millis};
+use tanager_forward::{
+    Beacon, ColdTarget, Epoch, Membership, OwnInstance, Role, StoreRevision, TargetNumber,
+    ViewVersion, WarmupBounds, WarmupLimiter, WarmupMessage, WarmupRate,
+};
+
+/// Duration of a step of the simulation.
+const STEP_MS: u64 = 20;
+/// Time between two rounds of beacons.
+const ROUND_MS: u64 = 400;
+/// Zones of the fleet.
+const ZONES: u8 = 3;
+/// Maximum time that an opening takes from an instance to a target.
+const OPENING_DELAY_MS: u64 = 40;
+/// Maximum time that a message between two instances takes.
+const MESSAGE_DELAY_MS: u64 = 120;
+/// Part of the messages that are lost.
+const LOSS: f64 = 0.02;
+
+/// A time in which some instances cannot exchange messages.
+#[derive(Debug, Clone)]
+enum Cut {
+    /// The zones are separated from each other.
+    Zones(Range<u64>),
+    /// One instance is separated from all others.
+    Instance(usize, Range<u64>),
+}
+
+impl Cut {
+    fn separates(
+        &self,
+        (from, from_zone): (usize, u8),
+        (to, to_zone): (usize, u8),
+        at: u64,
+    ) -> bool {
+        match self {
+            Self::Zones(time) => time.contains(&at) && from_zone != to_zone,
+            Self::Instance(index, time) => time.contains(&at) && (from == *index || to == *index),
+        }
+    }
+}
+
+/// A time in which an instance does nothing; messages wait for it.
+#[derive(Debug, Clone)]
+struct Pause {
+    index: usize,
+    time: Range<u64>,
+}
+
+/// A simulated fleet.
+#[derive(Debug, Clone)]
+struct Fleet {
+    instances: usize,
+    /// Cold targets of each zone.
+    targets: u64,
+    rate: f64,
+    /// Time within which the instances start.
+    start_ms: u64,
+    /// Instances that stop without notice and start again, with the time of the stop.
+    restarts: Vec<(usize, u64)>,
+    cuts: Vec<Cut>,
+    pauses: Vec<Pause>,
+    duration_ms: u64,
+    seed: u64,
+}
+
+enum Payload {
+    Beacon(Box<Beacon>),
+    Warmup(WarmupMessage),
+}
+
+struct Message {
+    due: u64,
+    to: usize,
+    payload: Payload,
+}
+
+struct Instance {
+    membership: Membership,
+    limiter: WarmupLimiter,
+    zone: u8,
+    /// When it starts, in simulated time.
+    start: u64,
+    /// The reading of its clock at time zero; clocks are not shared.
+    clock_offset: u64,
+    next_round: u64,
+}
+
+/// The openings of a simulation.
+#[derive(Default)]
+struct Openings {
+    /// When openings arrive at each target.
+    arrivals: FastMap<TargetNumber, Vec<u64>>,
+    /// Number of openings that each instance sends.
+    sent: FastMap<usize, usize>,
+}
+
+fn address(index: usize) -> SocketAddrV4 {
+    let [.., high, low] = index.to_be_bytes();
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), 7_720)
+}
+
+fn index(address: SocketAddrV4) -> usize {
+    let [.., high, low] = address.ip().octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+fn zone_of(index: usize) -> u8 {
+    u8::try_from(index % usize::from(ZONES)).expect("a zone")
+}
+
+fn cold_targets(zone: u8, fleet: &Fleet) -> Vec<ColdTarget> {
+    let service = |number: u64| {
+        if number.is_multiple_of(5) {
+            "orders"
+        } else {
+            "feeds"
+        }
+    };
+    let target = |i: u64| ColdTarget {
+        number: TargetNumber::new(u64::from(zone) * 1_000 + i),
+        service: service(i).parse().expect("a valid name"),
+        rate: WarmupRate::try_from(fleet.rate).expect("a valid rate"),
+    };
+    (1..=fleet.targets).map(target).collect()
+}
+
+fn instance(index: usize, incarnation: u64, start: u64, rng: &mut StdRng) -> Instance {
+    let own = OwnInstance {
+        address: address(index),
+        incarnation: Incarnation::new(incarnation),
+        zone: zone_of(index),
+        capacity: rng.random_range(28..500),
+    };
+    // The first two instances of each zone are seeds.
+    let seeds = (0..2 * usize::from(ZONES)).map(address);
+    Instance {
+        membership: Membership::new(own, seeds.collect()),
+        limiter: WarmupLimiter::default(),
+        zone: own.zone,
+        start,
+        clock_offset: rng.random_range(0..5_000_000),
+        next_round: start + rng.random_range(0..ROUND_MS),
+    }
+}
+
+impl Instance {
+    fn clock(&self, at: u64) -> Millis {
+        Clock::START + Duration::from_millis(self.clock_offset + at)
+    }
+
+    fn role(&self, at: u64) -> Role {
+        self.membership.role(Some(Duration::ZERO), self.clock(at))
+    }
+
+    /// Returns the messages of a round of beacons.
+    fn round(&mut self, cold: &[ColdTarget], at: u64) -> Vec<(SocketAddrV4, Payload)> {
+        let (now, role) = (self.clock(at), self.role(at));
+        let searching = at < self.start + 500;
+        let view = ViewVersion {
+            revision: StoreRevision::new(Epoch::new(1), 7),
+            routes: 1,
+        };
+        let recipients = self.membership.recipients(role, searching, now);
+        let mut sent = Vec::new();
+        for to in recipients {
+            let view = (view, Some(Duration::ZERO));
+            let beacon = self.membership.beacon(to, role, view, &[], now);
+            sent.push((to, Payload::Beacon(Box::new(beacon))));
+        }
+        self.membership.expire(now);
+        let standing = self.membership.zone_standing(now);
+        let request = self.limiter.renew(&standing, cold, now);
+        sent.extend(request.map(|(to, message)| (to, Payload::Warmup(message))));
+        sent
+    }
+
+    fn receive(
+        &mut self,
+        payload: Payload,
+        cold: &[ColdTarget],
+        at: u64,
+    ) -> Option<(SocketAddrV4, Payload)> {
+        let now = self.clock(at);
+        match payload {
+            Payload::Beacon(beacon) => {
+                // As the embedding process does, it answers new instances and those without a hub.
+                let is_new = self.membership.is_new_incarnation(&beacon);
+                self.membership.apply_beacon(&beacon, now);
+                let answers = is_new || self.membership.misses_hub(&beacon, now);
+                let role = self.role(at);
+                answers.then(|| {
+                    let view = (beacon.view(), Some(Duration::ZERO));
+                    let answer = self.membership.beacon(beacon.from, role, view, &[], now);
+                    (beacon.from, Payload::Beacon(Box::new(answer)))
+                })
+            }
+            Payload::Warmup(message) => {
+                let standing = self.membership.zone_standing(now);
+                let answer = self.limiter.handle(&message, &standing, cold, now);
+                answer.map(|(to, message)| (to, Payload::Warmup(message)))
+            }
+        }
+    }
+}
+
+/// Simulates a fleet and returns the openings to its cold targets.
+fn simulate(fleet: &Fleet) -> Openings {
+    let mut rng = StdRng::seed_from_u64(fleet.seed);
+    let mut instances: Vec<_> = (0..fleet.instances)
+        .map(|i| {
+            let start = rng.random_range(0..=fleet.start_ms);
+            instance(i, 1, start, &mut rng)
+        })
+        .collect();
+    let cold: Vec<_> = (0..ZONES).map(|zone| cold_targets(zone, fleet)).collect();
+    let mut waiting: Vec<Message> = Vec::new();
+    let mut openings = Openings::default();
+    for at in (0..fleet.duration_ms).step_by(usize::try_from(STEP_MS).expect("small")) {
+        for (index, stop) in &fleet.restarts {
+            if *stop / STEP_MS == at / STEP_MS {
+                let start = at + rng.random_range(200..3_000);
+                instances[*index] = instance(*index, 2 + at, start, &mut rng);
+            }
+        }
+        let runs = |instance: &Instance, i: usize| {
+            let paused = |p: &Pause| p.index == i && p.time.contains(&at);
+            instance.start <= at && !fleet.pauses.iter().any(paused)
+        };
+        let mut sent = Vec::new();
+        let due;
+        (due, waiting) = waiting.into_iter().partition(|m| m.due <= at);
+        for message in due {
+            let receiver = &mut instances[message.to];
+            if !runs(receiver, message.to) {
+                // A paused process reads its messages when it continues; a stopped one never does.
+                if receiver.start <= at {
+                    waiting.push(message);
+                }
+                continue;
+            }
+            let cold = &cold[usize::from(receiver.zone)];
+            let answer = receiver.receive(message.payload, cold, at);
+            sent.extend(answer.map(|answer| (message.to, answer)));
+        }
+        for (i, instance) in instances.iter_mut().enumerate() {
+            if !runs(instance, i) {
+                continue;
+            }
+            let cold = &cold[usize::from(instance.zone)];
+            if at >= instance.next_round {
+                instance.next_round = at + ROUND_MS;
+                let messages = instance.round(cold, at);
+                sent.extend(messages.into_iter().map(|message| (i, message)));
+            }
+            let arrivals = open_all(instance, cold, at, &mut rng);
+            *openings.sent.entry(i).or_default() += arrivals.len();
+            for (target, arrival) in arrivals {
+                openings.arrivals.entry(target).or_default().push(arrival);
+            }
+        }
+        for (from, (to, payload)) in sent {
+            let to = index(to);
+            let ends = ((from, zone_of(from)), (to, zone_of(to)));
+            let exists = to < fleet.instances;
+            let cut = fleet.cuts.iter().any(|c| c.separates(ends.0, ends.1, at));
+            if exists && !cut && !rng.random_bool(LOSS) {
+                let due = at + rng.random_range(1..MESSAGE_DELAY_MS);
+                waiting.push(Message { due, to, payload });
+            }
+        }
+    }
+    openings
+}
+
+/// Sends an opening to each cold target to which an instance may send one. Returns when they
+/// arrive.
+fn open_all(
+    instance: &mut Instance,
+    cold: &[ColdTarget],
+    at: u64,
+    rng: &mut StdRng,
+) -> Vec<(TargetNumber, u64)> {
+    let now = instance.clock(at);
+    let mut arrivals = Vec::new();
+    for target in cold {
+        if instance.limiter.allows(target.number, now) {
+            instance.limiter.record_opening(target.number, now);
+            let arrival = at + rng.random_range(0..OPENING_DELAY_MS);
+            arrivals.push((target.number, arrival));
+        }
+    }
+    arrivals
+}
+
+/// Returns the largest number of arrivals at one target within any second.
+fn busiest_second(mut openings: Openings) -> usize {
+    let mut busiest = 0;
+    for times in openings.arrivals.values_mut() {
+        times.sort_unstable();
+        let mut first = 0;
+        for last in 0..times.len() {
+            while times[last] - times[first] >= 1_000 {
+                first += 1;
+            }
+            busiest = busiest.max(last + 1 - first);
+        }
+    }
+    busiest
+}
+
+fn bound(rate: f64) -> usize {
+    let bounds = WarmupBounds::default();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a small positive number"
+    )]
+    let bound = (rate * bounds.overage + bounds.slack).floor() as usize;
+    bound
+}
+
+fn time() -> impl Strategy<Value = Range<u64>> {
+    (2_000..20_000_u64, 500..12_000_u64).prop_map(|(start, length)| start..start + length)
+}
+
+fn fleet(instances: usize, targets: u64) -> impl Strategy<Value = Fleet> {
+    let cut = prop_oneof![
+        time().prop_map(Cut::Zones),
+        // Seeds and hubs are among the first instances.
+        (0..instances.min(12), time()).prop_map(|(i, time)| Cut::Instance(i, time)),
+        (0..instances, time()).prop_map(|(i, time)| Cut::Instance(i, time)),
+    ];
+    let pause = (0..instances, time()).prop_map(|(index, time)| Pause { index, time });
+    let restart = (0..instances, 3_000..20_000_u64);
+    (
+        prop_oneof![Just(0.7), Just(2.0), Just(4.0), Just(25.0)],
+        prop_oneof![Just(0_u64), Just(2_000), Just(12_000)],
+        prop::collection::vec(restart, 0..8),
+        prop::collection::vec(cut, 0..5),
+        prop::collection::vec(pause, 0..4),
+        any::<u64>(),
+    )
+        .prop_map(
+            move |(rate, start_ms, restarts, cuts, pauses, seed)| Fleet {
+                instances,
+                targets,
+                rate,
+                start_ms,
+                restarts,
+                cuts,
+                pauses,
+                duration_ms: 30_000,
+                seed,
+            },
+        )
+}
+
+fn quiet(instances: usize, targets: u64, rate: f64) -> Fleet {
+    Fleet {
+        instances,
+        targets,
+        rate,
+        start_ms: 1_000,
+        restarts: Vec::new(),
+        cuts: Vec::new(),
+        pauses: Vec::new(),
+        duration_ms: 30_000,
+        seed: 1,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// Guards against too many openings to a cold target in the smallest deployment, whose zones have
+    /// two or three instances.
+    #[test]
+    fn eight_instances_stay_within_the_bound(fleet in fleet(8, 3)) {
+        prop_assert!(busiest_second(simulate(&fleet)) <= bound(fleet.rate));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(12))]
+
+    /// Guards against too many openings to a cold target of a deployment with 90 instances.
+    #[test]
+    fn ninety_instances_stay_within_the_bound(fleet in fleet(90, 6)) {
+        prop_assert!(busiest_second(simulate(&fleet)) <= bound(fleet.rate));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(3))]
+
+    /// Guards against too many openings to a cold target of the largest deployment, whose leaves know
+    /// a small part of their zone.
+    #[test]
+    fn all_instances_of_the_largest_fleet_stay_within_the_bound(fleet in fleet(667, 6)) {
+        prop_assert!(busiest_second(simulate(&fleet)) <= bound(fleet.rate));
+    }
+}
+
+/// Guards against cold targets that receive nothing: the rate is safe but useless then.
+#[test]
+fn cold_targets_receive_most_of_their_rate() {
+    for instances in [3, 8, 90, 667] {
+        let fleet = quiet(instances, 6, 4.0);
+
+        let openings = simulate(&fleet);
+
+        assert_eq!(openings.arrivals.len(), 18, "{instances} instances");
+        for (target, times) in &openings.arrivals {
+            let settled = times.iter().filter(|at| **at >= 10_000).count();
+            assert!(
+                settled >= 40,
+                "{target}: {settled} in 20 s, {instances} instances"
+            );
+        }
+    }
+}
+
+/// Guards against a service whose targets are all cold and that only few instances can serve.
+#[test]
+fn each_instance_can_open_flows_if_all_targets_are_cold() {
+    let fleet = Fleet {
+        duration_ms: 12_000,
+        ..quiet(90, 40, 4.0)
+    };
+
+    let openings = simulate(&fleet);
+
+    assert_eq!(openings.arrivals.len(), 120);
+    assert!(openings.sent.values().all(|sent| *sent > 0));
+    assert_eq!(openings.sent.len(), 90);
+}
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -299,3 +299,23 @@
     );
     assert_eq!(receiver.peer_with_newer_view(newer, at(10)), None);
 }
+
+/// Guards against an instance that hears from nobody for good. It sends beacons to an instance that
+/// is not the hub, while the hub does not know it.
+#[test]
+fn an_instance_that_does_not_know_the_hub_is_answered() {
+    let mut hub = member(1, 0, 500);
+    let mut leaf = member(2, 0, 38);
+    let mut lost = member(3, 0, 30);
+    send(&mut hub, &mut leaf, 2, &[], at(0));
+    send(&mut leaf, &mut lost, 3, &[], at(100));
+    let view = (view(7), RECENT);
+
+    let informed = lost.beacon(address(2), Role::Leaf, view, &[], at(200));
+    let uninformed = lost.beacon(address(2), Role::Hub, view, &[], at(5_000));
+
+    send(&mut hub, &mut leaf, 2, &[], at(5_000));
+    assert!(!leaf.misses_hub(&informed, at(200)));
+    assert!(leaf.misses_hub(&uninformed, at(5_000)));
+    assert!(!hub.misses_hub(&uninformed, at(5_000)));
+}
--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt as _;
 use tanager_core::{Clock, Incarnation, Millis};
-use tanager_forward::{Forwarder, Membership, OwnInstance, Role};
+use tanager_forward::{Forwarder, Membership, OwnInstance, Role, WarmupBounds};
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::sync::Notify;
 
@@ -52,7 +52,8 @@
             capacity: settings.capacity,
         };
         let seeds = beacon_addresses(&settings);
-        let forwarder = Forwarder::new(settings.zone.clone(), rand::rng().random());
+        let mut forwarder = Forwarder::new(settings.zone.clone(), rand::rng().random());
+        forwarder.set_warmup_bounds(warmup_bounds(&settings));
         Rc::new(Self {
             store: Cell::new(settings.store),
             clock,
@@ -140,6 +141,14 @@
     }
 }
 
+/// Returns the bounds on the openings to cold targets.
+pub const fn warmup_bounds(settings: &ForwarderSettings) -> WarmupBounds {
+    WarmupBounds {
+        overage: settings.warmup.overage,
+        slack: settings.warmup.slack,
+    }
+}
+
 /// Returns the addresses at which seeds receive beacons. Their port is the same on all instances.
 pub fn beacon_addresses(settings: &ForwarderSettings) -> Vec<SocketAddrV4> {
     let port = settings.advertised.port();
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -9,6 +9,7 @@
 mod flow_messages;
 #[cfg(test)]
 mod flow_messages_tests;
+mod grants;
 mod http;
 mod instance;
 mod pages;
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -10,10 +10,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::flow_messages;
 use crate::http::HttpClient;
 use crate::instance::Instance;
 use crate::{Error, Result};
+use crate::{flow_messages, grants};
 
 /// Largest beacon in bytes.
 const BEACON_LIMIT: usize = 60_000;
@@ -32,6 +32,7 @@
     let mut buffer = vec![0; BEACON_LIMIT];
     loop {
         send_beacons(&socket, &instance);
+        grants::renew(&socket, &instance);
         instance.forwarder.borrow_mut().sweep(instance.now());
         instance.membership.borrow_mut().expire(instance.now());
         if instance.is_settle_due() {
@@ -71,6 +72,9 @@
 }
 
 fn handle_datagram(bytes: &[u8], socket: &UdpSocket, instance: &Instance) {
+    if grants::is_grant_datagram(bytes) {
+        return grants::handle(bytes, socket, instance);
+    }
     if !flow_messages::is_flow_datagram(bytes) {
         return handle_beacon(bytes, socket, instance);
     }
@@ -140,18 +144,20 @@
     counters.beacons_received.increment();
     let now = instance.now();
     let role = instance.role();
-    let (is_new, newer) = {
+    let (is_new, misses_hub, newer) = {
         let mut membership = instance.membership.borrow_mut();
         let is_new = membership.is_new_incarnation(&beacon);
         membership.apply_beacon(&beacon, now);
         let view = instance.forwarder.borrow().view().version();
         let newer = is_new || membership.peer_with_newer_view(view, now).is_some();
-        (is_new, newer)
+        (is_new, membership.misses_hub(&beacon, now), newer)
     };
     if is_new && !beacon.leaving {
         info!(instance.reporter.log, "[membership] instance heard";
             "instance" => %beacon.from, "incarnation" => %beacon.incarnation,
             "hub" => beacon.hub, "revision" => %beacon.view().revision);
+    }
+    if (is_new || misses_hub) && !beacon.leaving {
         send_beacon(socket, instance, &[beacon.from], role);
     }
     if role == Role::Leaf && beacon.hub {
@@ -184,7 +190,7 @@
     let mut first = true;
     loop {
         instance.pull_requested.notified().await;
-        let view = instance.forwarder.borrow().view().version();
+        let view = instance.forwarder.borrow().view().version_to_read();
         let reads_store = instance.role() == Role::Hub
             && !view.revision.is_none()
             && instance.is_store_reachable();
--- a/crates/forwarder/src/reader/publications.rs
+++ b/crates/forwarder/src/reader/publications.rs
@@ -23,7 +23,11 @@
     for item in items {
         match item {
             Publication::Target(change) => apply_target(instance, change, origin),
-            Publication::Routes { routes, skipped } => apply_routes(instance, routes, &skipped),
+            Publication::Routes {
+                routes,
+                skipped,
+                unread_services,
+            } => apply_routes(instance, routes, &skipped, &unread_services),
             Publication::Unusable {
                 key,
                 revision,
@@ -47,7 +51,12 @@
     format!("{}: {reason}", ResultCode::EntryUnusable)
 }
 
-fn apply_routes(instance: &Instance, routes: RouteTable, skipped: &[String]) {
+fn apply_routes(
+    instance: &Instance,
+    routes: RouteTable,
+    skipped: &[String],
+    unread_services: &[String],
+) {
     let (version, count, revision) = (routes.version, routes.len(), routes.revision);
     if !instance.forwarder.borrow_mut().apply_routes(routes) {
         return;
@@ -60,6 +69,11 @@
         warn!(reporter.log, "[store] route skipped"; "config" => version,
             "error" => unusable(reason));
     }
+    for reason in unread_services {
+        reporter.counters.services_skipped.increment();
+        warn!(reporter.log, "[store] service skipped"; "config" => version,
+            "error" => unusable(reason));
+    }
 }
 
 fn apply_target(instance: &Instance, change: Change, origin: Origin) {
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -139,6 +139,7 @@
         items: vec![Publication::Routes {
             routes: table,
             skipped: Vec::new(),
+            unread_services: Vec::new(),
         }],
         revision: revision_at(revision),
     }
--- a/crates/forwarder/src/reload.rs
+++ b/crates/forwarder/src/reload.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::Signal;
 use tokio::time::timeout;
 
-use crate::instance::{Instance, beacon_addresses};
+use crate::instance::{Instance, beacon_addresses, warmup_bounds};
 
 /// How often the settings file is checked for changes.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
@@ -40,7 +40,8 @@
     text.ok()
 }
 
-/// Applies the settings that may change while the process runs: seeds and the store's address.
+/// Applies the settings that may change while the process runs: seeds, the store's address and the
+/// bounds for cold targets.
 fn apply(text: &str, signalled: bool, instance: &Instance) {
     let log = &instance.reporter.log;
     let settings = match ForwarderSettings::read(text) {
@@ -55,4 +56,8 @@
         "seeds" => seeds.len(), "store" => %settings.store);
     instance.membership.borrow_mut().set_seeds(seeds);
     instance.store.set(settings.store);
+    instance
+        .forwarder
+        .borrow_mut()
+        .set_warmup_bounds(warmup_bounds(&settings));
 }
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -52,6 +52,8 @@
     pub flows_reset: Counter,
     /// Openings reset because their service was overloaded.
     pub openings_refused: Counter,
+    /// Openings that were not sent to a cold target because of its rate.
+    pub openings_withheld: Counter,
     /// Packets of requests dropped because their service was overloaded.
     pub packets_shed: Counter,
     /// Calls to the store.
@@ -62,6 +64,8 @@
     pub entries_skipped: Counter,
     /// Routes of configurations that were skipped as unusable.
     pub routes_skipped: Counter,
+    /// Services of configurations that were skipped as unusable; their rates in force stay.
+    pub services_skipped: Counter,
     /// Views read from peers.
     pub views_pulled: Counter,
     /// Beacons sent to other instances.
@@ -74,6 +78,10 @@
     pub flow_messages_sent: Counter,
     /// Messages about single flows received from other instances.
     pub flow_messages_received: Counter,
+    /// Messages about grants for cold targets sent to other instances.
+    pub grant_messages_sent: Counter,
+    /// Messages about grants for cold targets received from other instances.
+    pub grant_messages_received: Counter,
     /// Log lines left out because there were too many.
     pub log_lines_left_out: Counter,
 }
@@ -88,6 +96,8 @@
     suspect: AtomicU64,
     lost: AtomicU64,
     failing: AtomicU64,
+    cold: AtomicU64,
+    granted: AtomicU64,
     peers: AtomicU64,
     ready: AtomicU64,
 }
@@ -104,6 +114,8 @@
         set(&self.suspect, gauges.suspect);
         set(&self.lost, gauges.lost);
         set(&self.failing, gauges.failing);
+        set(&self.cold, gauges.cold);
+        set(&self.granted, gauges.granted);
         set(&self.peers, peers);
         set(&self.ready, usize::from(ready));
     }
@@ -131,6 +143,16 @@
     ("targets_failing", "Targets that fail requests.", |c| {
         &c.failing
     }),
+    (
+        "targets_cold",
+        "Cold targets of the own zone with a rate.",
+        |c| &c.cold,
+    ),
+    (
+        "targets_granted",
+        "Cold targets to which this instance may open flows.",
+        |c| &c.granted,
+    ),
     ("peers", "Other instances heard from.", |c| &c.peers),
     ("ready", "1 if the instance takes packets.", |c| &c.ready),
 ];
@@ -286,6 +308,9 @@
 
     fn count(&self, event: &Event) {
         let counters = &self.counters;
+        if is_withheld(event) {
+            counters.openings_withheld.increment();
+        }
         match event {
             Event::Placed { attempt: 0, .. } => counters.flows_placed.increment(),
             Event::Placed { .. } => counters.openings_replaced.increment(),
@@ -308,7 +333,7 @@
                 }
             }
             Event::HalfOpenCorrected { .. } => counters.half_open_corrected.increment(),
-            Event::Liveness(_) | Event::Health(_) | Event::Limit(_) => {}
+            Event::Liveness(_) | Event::Health(_) | Event::Limit(_) | Event::Grants { .. } => {}
         }
     }
 
@@ -320,10 +345,11 @@
                 target,
                 load,
                 candidates,
+                withheld,
                 attempt,
             } => info!(self.log, "[forward] placed";
                 "flow" => %flow, "service" => %service, "target" => %target,
-                "load" => rounded(*load), "candidates" => candidates,
+                "load" => rounded(*load), "candidates" => candidates, "withheld" => withheld,
                 "attempt" => attempt, "revision" => %revision, "view_age_ms" => age_ms),
             Event::Reset {
                 flow,
@@ -361,6 +387,9 @@
                 "rate" => rounded(change.rate), "sound" => rounded(change.tally.sound),
                 "failures" => rounded(change.tally.failures),
                 "revision" => %revision, "view_age_ms" => age_ms),
+            Event::Grants { granted, cold } => info!(self.log, "[forward] cold targets granted";
+                "granted" => granted, "cold" => cold,
+                "revision" => %revision, "view_age_ms" => age_ms),
             Event::Limit(change) => info!(self.log, "[forward] service limit";
                 "service" => %change.service, "limit" => change.limit.map(rounded),
                 "running" => change.running, "late_share" => rounded(change.late_share),
@@ -369,6 +398,16 @@
     }
 }
 
+/// Returns whether an opening was not sent to a cold target because of its rate.
+const fn is_withheld(event: &Event) -> bool {
+    match event {
+        Event::Placed { withheld, .. } => *withheld > 0,
+        Event::Reset { reason, .. } => matches!(reason, ResetReason::ColdTargets),
+        Event::Dropped { reason, .. } => matches!(reason, DropReason::ColdTarget),
+        _ => false,
+    }
+}
+
 /// Returns a number rounded to three decimal places, for the log.
 fn rounded(value: f64) -> f64 {
     (value * 1_000.0).round() / 1_000.0
--- a/crates/forwarder/src/source.rs
+++ b/crates/forwarder/src/source.rs
@@ -18,6 +18,9 @@
         routes: RouteTable,
         /// Why other routes of the configuration cannot be used, one text each.
         skipped: Vec<String>,
+        /// Why services of the configuration cannot be read, one text each. Their rates in force
+        /// stay.
+        unread_services: Vec<String>,
     },
     /// An item that cannot be used. If it is a target's entry, the target counts as removed.
     Unusable {
--- a/crates/proxy/src/settings/forwarder.rs
+++ b/crates/proxy/src/settings/forwarder.rs
@@ -6,6 +6,7 @@
 
 use crate::Result;
 use crate::settings::balancer::check_log;
+use crate::settings::tree::{Tree, Value};
 use crate::settings::{Checker, LogSettings, Section};
 
 const DOCUMENT: &str = "settings";
@@ -14,6 +15,32 @@
 /// Maximum capacity in cores, that of the largest instance.
 const MAX_CAPACITY: f64 = 64.0;
 
+/// Factor by which the openings to a cold target may exceed its rate within a second, if none is set.
+const DEFAULT_OVERAGE: f64 = 1.5;
+/// Openings to a cold target beyond that, if none are set.
+const DEFAULT_SLACK: f64 = 5.0;
+/// Maximum of both values. A larger one indicates a wrong unit.
+const MAX_WARMUP_VALUE: f64 = 1_000.0;
+
+/// Bounds on the openings that a cold target receives within a second: its rate times `overage` plus
+/// `slack`.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmupSettings {
+    /// Factor applied to the rate. Invariant: finite and not negative.
+    pub overage: f64,
+    /// Openings beyond that. Invariant: finite and not negative.
+    pub slack: f64,
+}
+
+impl Default for WarmupSettings {
+    fn default() -> Self {
+        Self {
+            overage: DEFAULT_OVERAGE,
+            slack: DEFAULT_SLACK,
+        }
+    }
+}
+
 /// Validated settings of an instance that forwards packets.
 #[derive(Debug, Clone)]
 pub struct ForwarderSettings {
@@ -42,6 +69,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// HTTP address of the store.
     pub store: SocketAddrV4,
+    /// Bounds on the openings to cold targets.
+    pub warmup: WarmupSettings,
     /// Log settings.
     pub log: LogSettings,
 }
@@ -59,7 +88,7 @@
 
 fn check_settings(top: &Section<'_>, checker: &mut Checker) -> Option<ForwarderSettings> {
     let required = ["instance", "listen", "zones", "store"];
-    top.check_keys(checker, &required, &["advertise", "seeds", "log"]);
+    top.check_keys(checker, &required, &["advertise", "seeds", "warmup", "log"]);
     let instance = top
         .section(checker, "instance")
         .and_then(|section| check_instance(&section, checker));
@@ -74,6 +103,7 @@
         Some(section) => check_log(&section, checker),
         None => Some(LogSettings::default()),
     };
+    let warmup = check_warmup(top, checker);
     let (name, zone, capacity) = instance?;
     let [clients, ready, views, beacons, metrics] = listen?;
     if !zones.contains(&zone) {
@@ -95,6 +125,7 @@
         metrics,
         seeds,
         store: store?,
+        warmup: warmup?,
         log: log?,
     })
 }
@@ -128,6 +159,41 @@
     Some((cores * 1_000.0).round() as u16)
 }
 
+/// Reads the bounds for cold targets. All of them are optional, so the section may be empty.
+fn check_warmup(top: &Section<'_>, checker: &mut Checker) -> Option<WarmupSettings> {
+    let is_empty = |tree: &Tree| matches!(tree.value, Value::Null);
+    if top.get("warmup").is_none_or(is_empty) {
+        return Some(WarmupSettings::default());
+    }
+    let section = &top.section(checker, "warmup")?;
+    section.check_keys(checker, &[], &["overage", "slack"]);
+    let overage = check_warmup_value(section, checker, "overage", DEFAULT_OVERAGE);
+    let slack = check_warmup_value(section, checker, "slack", DEFAULT_SLACK);
+    Some(WarmupSettings {
+        overage: overage?,
+        slack: slack?,
+    })
+}
+
+fn check_warmup_value(
+    section: &Section<'_>,
+    checker: &mut Checker,
+    key: &str,
+    default: f64,
+) -> Option<f64> {
+    if section.get(key).is_none() {
+        return Some(default);
+    }
+    let value: f64 = section.parse(checker, key)?;
+    if !(0.0..=MAX_WARMUP_VALUE).contains(&value) {
+        let message = format!("{value} is outside the range 0 to {MAX_WARMUP_VALUE}");
+        let (path, span) = (section.path(key), section.span_of(key));
+        checker.report(ResultCode::ValueOutOfRange, &path, span, message);
+        return None;
+    }
+    Some(value)
+}
+
 fn check_listen(section: &Section<'_>, checker: &mut Checker) -> Option<[SocketAddrV4; 5]> {
     let keys = ["clients", "ready", "views", "beacons", "metrics"];
     section.check_keys(checker, &keys, &[]);
--- a/crates/proxy/src/settings/mod.rs
+++ b/crates/proxy/src/settings/mod.rs
@@ -8,7 +8,7 @@
 mod tree;
 
 pub use balancer::{LogFormat, LogOutput, LogSettings, PlatformSettings, Settings, check};
-pub use forwarder::ForwarderSettings;
+pub use forwarder::{ForwarderSettings, WarmupSettings};
 pub use problem::Problem;
 pub(crate) use problem::{document_error, problems_of};
 pub(crate) use section::{Checker, Section};
--- a/crates/proxy/src/settings/tests.rs
+++ b/crates/proxy/src/settings/tests.rs
@@ -2,7 +2,7 @@
 use proptest::prelude::*;
 use tanager_core::ResultCode;
 
-use crate::settings::{ForwarderSettings, Settings, check};
+use crate::settings::{ForwarderSettings, Settings, WarmupSettings, check};
 
 fn document() -> String {
     let secret = "0f".repeat(32);
@@ -155,3 +155,30 @@
 
     assert!(error.to_string().contains("advertise"), "{error}");
 }
+
+/// Guards against bounds for cold targets that differ from the platform's, and against an instance
+/// that does not start because the platform sets none.
+#[test]
+fn bounds_for_cold_targets_are_optional() {
+    let read = |section: &str| ForwarderSettings::read(&(forwarder_document() + section));
+
+    for (section, overage, slack) in [
+        ("", 1.5, 5.0),
+        ("warmup:\n", 1.5, 5.0),
+        ("warmup: {overage: \"2\"}\n", 2.0, 5.0),
+        ("warmup: {overage: \"1.25\", slack: \"0\"}\n", 1.25, 0.0),
+    ] {
+        let warmup = read(section).expect("settings").warmup;
+        assert_eq!(warmup, WarmupSettings { overage, slack }, "{section}");
+    }
+    for section in [
+        "warmup: {overage: \"-1\"}\n",
+        "warmup: {slack: \"NaN\"}\n",
+        "warmup: {slack: \"inf\"}\n",
+        "warmup: {slack: many}\n",
+        "warmup: {burst: \"1\"}\n",
+        "warmup: [1]\n",
+    ] {
+        assert!(read(section).is_err(), "{section}");
+    }
+}
