--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -28,8 +28,8 @@
 use crate::place::{Choice, Placement};
 use crate::view::View;
 use crate::{
-    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, ResetReason,
-    Route, Segment, SegmentKind, TargetNumber, WarmupLimiter,
+    Action, ColdTarget, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward,
+    ResetReason, Route, Segment, SegmentKind, TargetNumber, WarmupLimiter,
 };
 pub use reports::Gauges;
 
@@ -63,6 +63,9 @@
     loads: Loads,
     admission: Admission,
     warmup: WarmupLimiter,
+    /// The cold targets of the local zone with a rate, as of the last round of beacons. A hub uses
+    /// them for the requests of its whole zone.
+    cold: Vec<ColdTarget>,
     /// Whether this instance held grants for cold targets when they were last recorded.
     holds_grants: bool,
     rng: StdRng,
@@ -93,6 +96,7 @@
             loads: Loads::default(),
             admission: Admission::default(),
             warmup: WarmupLimiter::default(),
+            cold: Vec::new(),
             holds_grants: false,
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -72,7 +72,7 @@
             suspect,
             lost,
             failing: self.health.failing_count(),
-            cold: self.cold_targets(now).len(),
+            cold: self.cold.len(),
             granted: self.warmup.granted(now),
         }
     }
--- a/crates/forward/src/forwarder/warmup.rs
+++ b/crates/forward/src/forwarder/warmup.rs
@@ -24,9 +24,9 @@
         standing: &ZoneStanding,
         now: Millis,
     ) -> Option<(SocketAddrV4, WarmupMessage)> {
-        let cold = self.cold_targets(now);
-        let request = self.warmup.renew(standing, &cold, now);
-        self.record_grants(cold.len(), now);
+        self.cold = self.find_cold_targets(now);
+        let request = self.warmup.renew(standing, &self.cold, now);
+        self.record_grants(now);
         request
     }
 
@@ -37,14 +37,13 @@
         standing: &ZoneStanding,
         now: Millis,
     ) -> Option<(SocketAddrV4, WarmupMessage)> {
-        let cold = self.cold_targets(now);
-        let answer = self.warmup.handle(message, standing, &cold, now);
-        self.record_grants(cold.len(), now);
+        let answer = self.warmup.handle(message, standing, &self.cold, now);
+        self.record_grants(now);
         answer
     }
 
     /// Returns the cold targets of the local zone whose services publish a rate.
-    pub(super) fn cold_targets(&self, now: Millis) -> Vec<ColdTarget> {
+    fn find_cold_targets(&self, now: Millis) -> Vec<ColdTarget> {
         let routes = self.view.routes();
         if !routes.has_rates() {
             return Vec::new();
@@ -66,7 +65,8 @@
     }
 
     /// Records when this instance starts or stops holding grants.
-    fn record_grants(&mut self, cold: usize, now: Millis) {
+    fn record_grants(&mut self, now: Millis) {
+        let cold = self.cold.len();
         let granted = self.warmup.granted(now);
         if (granted > 0) != self.holds_grants {
             self.holds_grants = granted > 0;
--- a/crates/forward/src/placement/cold/grantor.rs
+++ b/crates/forward/src/placement/cold/grantor.rs
@@ -102,20 +102,20 @@
             u32::try_from(share).unwrap_or(u32::MAX)
         };
         let pace = |target: &ColdTarget| Pace::new(target.rate, bounds, zone_size);
+        let paces: Vec<_> = cold.iter().map(pace).collect();
         let mut quotas = Quotas::default();
-        for target in cold {
-            quotas.add(&target.service, share(pace(target).senders));
+        for (target, pace) in cold.iter().zip(&paces) {
+            quotas.add(&target.service, share(pace.senders));
         }
         quotas.divide(self.position(requester.address), reachable);
         let mut granted = Vec::new();
         // Existing grants are renewed before new ones are made, so that they stay where they are.
         for renews in [true, false] {
             for i in rotation(requester.address, cold.len()) {
-                let target = &cold[i];
+                let (target, pace) = (&cold[i], paces[i]);
                 if granted.len() >= GRANT_LIMIT || !quotas.is_left(&target.service) {
                     continue;
                 }
-                let pace = pace(target);
                 let holders = self.holders.entry(target.number).or_default();
                 holders.retain(|h| h.is_counted(now));
                 let held = if renews {
--- a/crates/forward/tests/cold_rate_bound.rs
+++ b/crates/forward/tests/cold_rate_bound.rs
@@ -23,6 +23,8 @@
 const ROUND_MS: u64 = 400;
 /// Zones of the fleet.
 const ZONES: u8 = 3;
+/// Instances that are seeds: two in each zone.
+const SEEDS: usize = 6;
 /// Maximum time that an opening takes from an instance to a target.
 const OPENING_DELAY_MS: u64 = 40;
 /// Maximum time that a message between two instances takes.
@@ -35,6 +37,8 @@
 enum Cut {
     /// The zones are separated from each other.
     Zones(Range<u64>),
+    /// Every second instance of each zone is separated from the others.
+    Halves(Range<u64>),
     /// One instance is separated from all others.
     Instance(usize, Range<u64>),
 }
@@ -48,6 +52,10 @@
     ) -> bool {
         match self {
             Self::Zones(time) => time.contains(&at) && from_zone != to_zone,
+            Self::Halves(time) => {
+                let half = |index: usize| index / usize::from(ZONES) % 2;
+                time.contains(&at) && half(from) != half(to)
+            }
             Self::Instance(index, time) => time.contains(&at) && (from == *index || to == *index),
         }
     }
@@ -143,10 +151,14 @@
         address: address(index),
         incarnation: Incarnation::new(incarnation),
         zone: zone_of(index),
-        capacity: rng.random_range(28..500),
+        // Seeds have the highest ranks, so that cuts, pauses and restarts hit hubs.
+        capacity: if index < SEEDS {
+            600
+        } else {
+            rng.random_range(28..500)
+        },
     };
-    // The first two instances of each zone are seeds.
-    let seeds = (0..2 * usize::from(ZONES)).map(address);
+    let seeds = (0..SEEDS).map(address);
     Instance {
         membership: Membership::new(own, seeds.collect()),
         limiter: WarmupLimiter::default(),
@@ -337,15 +349,18 @@
     (2_000..20_000_u64, 500..12_000_u64).prop_map(|(start, length)| start..start + length)
 }
 
+/// Returns an instance that is cut off, paused or restarted, often a hub.
+fn affected(instances: usize) -> impl Strategy<Value = usize> {
+    prop_oneof![0..SEEDS, 0..instances]
+}
+
 fn fleet(instances: usize, targets: u64) -> impl Strategy<Value = Fleet> {
     let cut = prop_oneof![
         time().prop_map(Cut::Zones),
-        // Seeds and hubs are among the first instances.
-        (0..instances.min(12), time()).prop_map(|(i, time)| Cut::Instance(i, time)),
-        (0..instances, time()).prop_map(|(i, time)| Cut::Instance(i, time)),
+        (affected(instances), time()).prop_map(|(i, time)| Cut::Instance(i, time)),
     ];
-    let pause = (0..instances, time()).prop_map(|(index, time)| Pause { index, time });
-    let restart = (0..instances, 3_000..20_000_u64);
+    let pause = (affected(instances), time()).prop_map(|(index, time)| Pause { index, time });
+    let restart = (affected(instances), 3_000..20_000_u64);
     (
         prop_oneof![Just(0.7), Just(2.0), Just(4.0), Just(25.0)],
         prop_oneof![Just(0_u64), Just(2_000), Just(12_000)],
@@ -415,6 +430,17 @@
     }
 }
 
+/// Guards against both halves of a divided zone using the whole rate.
+#[test]
+fn halves_of_a_zone_stay_within_the_bound() {
+    let fleet = Fleet {
+        cuts: vec![Cut::Halves(12_000..30_000)],
+        ..quiet(90, 6, 4.0)
+    };
+
+    assert!(busiest_second(simulate(&fleet)) <= bound(fleet.rate));
+}
+
 /// Guards against cold targets that receive nothing: the rate is safe but useless then.
 #[test]
 fn cold_targets_receive_most_of_their_rate() {
