Explain where a new request of a flow would go

Cause: a placement could only be explained afterwards, from the log lines of a request that was sent.

Change: the page /explain on the metrics address, and tanagerctl forwarder explain, describe the decision about a new opening: route, service, targets compared and excluded, choice and admission. The sample is drawn with a generator of its own, so nothing changes. The table of result codes names services, as the source now does.

--- a/crates/core/src/code.rs
+++ b/crates/core/src/code.rs
@@ -59,7 +59,7 @@
     RevisionNotNewer = 120,
     /// Two catalogues carry the same revision but different content.
     RevisionConflict = 121,
-    /// A published entry, or a route of the published configuration, cannot be used.
+    /// A published entry, or a route or service of the published configuration, cannot be used.
     EntryUnusable = 130,
     /// The datagram or frame cannot be decoded.
     PacketMalformed = 201,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -25,6 +25,7 @@
 Usage: tanagerctl status [--json] ADDRESS...
        tanagerctl usage [--json] ADDRESS...
        tanagerctl explain (--flow ID | --request ID | --last) [--json] ADDRESS...
+       tanagerctl forwarder explain ADDRESS FLOW
        tanagerctl check (--settings FILE | --catalogue FILE)
 
 ADDRESS is the status address of an instance; give all of them to see the whole fleet.
@@ -33,6 +34,9 @@
   status    revision in force, owners' use, limits, sheds and feeds of each instance
   usage     usage by owner as the instances know it, and by service summed over the instances
   explain   routing and placement decisions, newest first
+  forwarder explain
+            where an instance of tanager-forwarder would send a new request of FLOW now, and why;
+            ADDRESS is its metrics address, FLOW is CLIENT:PORT>SERVICE:PORT
   check     report every problem of a document without publishing it
 
 Options:
@@ -52,6 +56,7 @@
     Status(Query),
     Usage(Query),
     Explain(Selector, Query),
+    ExplainForwarder(SocketAddr, String),
     Check(check::Kind, String),
 }
 
@@ -95,6 +100,7 @@
             let selector = parse_selector(&mut args)?;
             Ok(Command::Explain(selector, parse_query(args)?))
         }
+        Some("forwarder") => parse_forwarder(args),
         Some("check") => parse_check(args),
         Some(other) => Err(format!("unknown command {other}")),
         None => Err("a command is missing".to_owned()),
@@ -131,6 +137,21 @@
     }
 }
 
+fn parse_forwarder(mut args: Arguments) -> std::result::Result<Command, String> {
+    let name = args.subcommand().map_err(|e| e.to_string())?;
+    if name.as_deref() != Some("explain") {
+        return Err("expected forwarder explain".to_owned());
+    }
+    let (Ok(address), Ok(flow)) = (args.free_from_str(), args.free_from_str()) else {
+        return Err("expected an address and port, and a flow".to_owned());
+    };
+    let rest = args.finish();
+    if !rest.is_empty() {
+        return Err(format!("unexpected arguments: {rest:?}"));
+    }
+    Ok(Command::ExplainForwarder(address, flow))
+}
+
 fn parse_check(mut args: Arguments) -> std::result::Result<Command, String> {
     let settings: Option<String> = args
         .opt_value_from_str("--settings")
@@ -175,6 +196,13 @@
         Command::Explain(selector, query) => {
             return explain::run(selector, &query).await;
         }
+        Command::ExplainForwarder(address, flow) => {
+            let path = format!("/explain?flow={flow}");
+            let fetched = pages::fetch_all(&[address], &path).await?;
+            for page in &fetched.pages {
+                println!("{:#}", page.body);
+            }
+        }
         Command::Check(kind, path) => println!("{}", check::run(kind, &path)?),
     }
     Ok(true)
--- a/crates/ctl/src/tests.rs
+++ b/crates/ctl/src/tests.rs
@@ -28,6 +28,10 @@
         "check",
         "check --settings a --catalogue b",
         "stop 127.0.0.1:1",
+        "forwarder 127.0.0.1:1",
+        "forwarder explain 127.0.0.1:1",
+        "forwarder explain here 10.0.0.1:1>10.0.0.2:2",
+        "forwarder explain 127.0.0.1:1 10.0.0.1:1>10.0.0.2:2 more",
     ] {
         assert!(command(line).is_err(), "{line}");
     }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod binding;
 mod established;
+mod explain;
 mod open;
 mod reports;
 mod resets;
@@ -227,6 +228,20 @@
         placement.choose(service, tried, &mut self.rng)
     }
 
+    /// Returns the inputs of a decision that does not use the generator of this instance, which
+    /// [`Self::choose`] borrows at the same time.
+    const fn placement(&self, now: Millis) -> Placement<'_> {
+        Placement {
+            zone: &self.zone,
+            view: &self.view,
+            liveness: &self.liveness,
+            health: &self.health,
+            loads: &self.loads,
+            warmup: &self.warmup,
+            now,
+        }
+    }
+
     /// Forwards a packet of an open flow.
     fn forward_to(&self, target: TargetNumber) -> Result<Forward, DropReason> {
         self.forward_with(target, target.cookie())
--- a/crates/forward/src/forwarder/admit.rs
+++ b/crates/forward/src/forwarder/admit.rs
@@ -74,19 +74,28 @@
         waited: Option<Duration>,
         now: Millis,
     ) -> bool {
-        let Some((route, service)) = route_of(&self.view, key) else {
-            return false;
-        };
-        let exceeded = self
-            .admission
-            .is_exceeded(service, Class::of(route, waited));
-        let sheds = exceeded && self.has_queue(target, now);
-        if sheds {
+        let sheds = self.would_shed(key, target, waited, now);
+        if sheds && let Some((_, service)) = route_of(&self.view, key) {
             self.admission.record_shed(service, now);
         }
         sheds
     }
 
+    /// Returns whether a request that is sent to a target now would be shed.
+    pub(super) fn would_shed(
+        &self,
+        key: &FlowKey,
+        target: TargetNumber,
+        waited: Option<Duration>,
+        now: Millis,
+    ) -> bool {
+        let Some((route, service)) = route_of(&self.view, key) else {
+            return false;
+        };
+        let class = Class::of(route, waited);
+        self.admission.is_exceeded(service, class) && self.has_queue(target, now)
+    }
+
     /// Counts an admitted request of a flow, unless it was counted with the flow's opening.
     pub(super) fn start_counting(&mut self, key: &FlowKey, now: Millis) {
         let counted = self.flows.get(key).is_none_or(|f| f.admitted.is_some());
--- a/crates/forward/src/place.rs
+++ b/crates/forward/src/place.rs
@@ -11,7 +11,7 @@
 use crate::liveness::LivenessTracker;
 use crate::load::Loads;
 use crate::view::{TargetEntry, View};
-use crate::{Liveness, TargetNumber, TargetState, WarmupLimiter};
+use crate::{Candidate, Exclusion, Liveness, TargetNumber, TargetState, WarmupLimiter};
 
 /// Load added to a target in another zone, in requests per slot. Traffic between zones has a cost,
 /// and a network partition between zones ends its flows.
@@ -95,6 +95,36 @@
         })
     }
 
+    /// Returns all published targets of a service, with those that a decision would compare.
+    pub fn candidates(&self, service: &PublishedService, rng: &mut StdRng) -> Vec<Candidate> {
+        let published = self.view.published();
+        let targets: Vec<_> = published.filter(|e| e.target.service == *service).collect();
+        let usable: Vec<_> = targets
+            .iter()
+            .copied()
+            .filter(|e| self.exclusion(e).is_none())
+            .collect();
+        let sample = self.sample(usable.iter().copied(), rng);
+        let describe = |e: &TargetEntry| Candidate {
+            target: e.target.number.to_string(),
+            zone: e.target.zone.to_string(),
+            load: self.load(e, &usable),
+            liveness: self.liveness(e).to_string(),
+            compared: sample.iter().any(|s| s.target.number == e.target.number),
+            excluded: self.exclusion(e),
+        };
+        targets.into_iter().map(describe).collect()
+    }
+
+    /// Returns why a target cannot be chosen.
+    fn exclusion(&self, entry: &TargetEntry) -> Option<Exclusion> {
+        if entry.target.state != TargetState::Ready {
+            return Some(Exclusion::Draining);
+        }
+        let accepts = self.warmup.accepts(entry, self.view, self.now);
+        (!accepts).then_some(Exclusion::Cold)
+    }
+
     /// Draws the targets to compare: some responsive ones of the local zone, and some of all zones.
     ///
     /// Instances receive each other's loads with a delay. If each compared all targets, all would
--- a/crates/forward/src/segment.rs
+++ b/crates/forward/src/segment.rs
@@ -3,8 +3,10 @@
 use std::fmt;
 use std::hash::{BuildHasher as _, BuildHasherDefault, DefaultHasher};
 use std::net::SocketAddrV4;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
+use tanager_core::Error;
 
 use crate::Cookie;
 
@@ -35,6 +37,20 @@
     }
 }
 
+impl FromStr for FlowKey {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self, Error> {
+        let reason = "expected CLIENT:PORT>SERVICE:PORT with IPv4 addresses";
+        let malformed = || Error::malformed("FlowKey", s, reason);
+        let (client, service) = s.split_once('>').ok_or_else(malformed)?;
+        Ok(Self {
+            client: client.parse().map_err(|_| malformed())?,
+            service: service.parse().map_err(|_| malformed())?,
+        })
+    }
+}
+
 /// The role of a packet in its flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SegmentKind {
--- a/crates/forwarder/src/pages.rs
+++ b/crates/forwarder/src/pages.rs
@@ -6,8 +6,9 @@
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use slog::warn;
-use tanager_forward::ViewVersion;
+use tanager_forward::{FlowKey, ViewVersion};
 use tanagerproxy::accept::Acceptor;
 use tanagerproxy::http::{self, Page, text};
 use tokio::net::TcpListener;
@@ -25,7 +26,7 @@
 pub enum Pages {
     /// Whether the instance accepts packets.
     Ready,
-    /// Counters, gauges and histograms.
+    /// Counters, gauges and histograms, and explanations of decisions.
     Metrics,
     /// The view, for other instances.
     View,
@@ -53,6 +54,7 @@
         (Pages::Ready, "/ready") => ready(instance),
         (Pages::Metrics, "/metrics") => metrics(instance),
         (Pages::View, "/view") => view(request.uri().query().unwrap_or(""), instance),
+        (Pages::Metrics, "/explain") => explain(request.uri().query().unwrap_or(""), instance),
         _ => text(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
@@ -93,6 +95,30 @@
     }
 }
 
+/// Returns what would happen now to the opening of a flow. Nothing is sent or changed.
+fn explain(query: &str, instance: &Instance) -> Page {
+    let Some(flow) = parse_flow(query) else {
+        let expected = "expected flow=CLIENT:PORT%3ESERVICE:PORT\n";
+        return text(StatusCode::BAD_REQUEST, expected);
+    };
+    let now = instance.now();
+    let explanation = instance.forwarder.borrow().explain(&flow, now);
+    match serde_json::to_string_pretty(&explanation) {
+        Ok(body) => text(StatusCode::OK, body + "\n"),
+        Err(error) => {
+            warn!(instance.reporter.log, "[status] no explanation"; "error" => %error);
+            text(StatusCode::INTERNAL_SERVER_ERROR, "no explanation\n")
+        }
+    }
+}
+
+/// Parses the flow in the query of a request, which may be percent-encoded.
+fn parse_flow(query: &str) -> Option<FlowKey> {
+    let flow = query.strip_prefix("flow=")?;
+    let decoded = percent_decode_str(flow).decode_utf8().ok()?;
+    decoded.parse().ok()
+}
+
 /// Parses the version of a peer's view in the query of a request.
 fn parse_version(query: &str) -> Option<ViewVersion> {
     let (revision, routes) = query.strip_prefix("after=")?.split_once("&routes=")?;
