--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -5,7 +5,7 @@
 
 use tanager_core::PublishedService;
 
-use crate::{Cookie, FlowKey, HealthChange, LimitChange, LivenessChange, TargetNumber};
+use crate::{Cookie, Evacuation, FlowKey, HealthChange, LimitChange, LivenessChange, TargetNumber};
 
 /// Where a packet is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,6 +63,9 @@
     Overloaded,
     /// It repeats an opening to a cold target whose rate does not permit it now.
     ColdTarget,
+    /// It is an opening that was sent to a target of a zone that is now evacuated, and no other
+    /// target can take it.
+    Evacuated,
 }
 
 impl fmt::Display for DropReason {
@@ -74,6 +77,7 @@
             Self::NoRoutes => "no-routes",
             Self::Overloaded => "overloaded",
             Self::ColdTarget => "cold-target",
+            Self::Evacuated => "evacuated",
         })
     }
 }
@@ -119,12 +123,15 @@
         service: PublishedService,
         /// The chosen target.
         target: TargetNumber,
-        /// Its estimated load divided by its slots, with all penalties.
+        /// Its estimated load divided by its slots: in a subset divided by its speed, too, otherwise with
+        /// penalties.
         load: f64,
         /// Number of ready targets of the service.
         candidates: usize,
         /// Number of further ones that are cold and whose rate permitted no opening.
         withheld: usize,
+        /// Number of targets that were examined.
+        examined: usize,
         /// 0 for the first target, then one more for each target that did not answer.
         attempt: u8,
     },
@@ -176,6 +183,8 @@
         /// Number of all cold targets of its zone with a rate.
         cold: usize,
     },
+    /// The evacuation of a zone began or ended.
+    Evacuation(Evacuation),
     /// The requests in flight to a service started or stopped being limited.
     Limit(LimitChange),
 }
--- a/crates/forward/src/explanation.rs
+++ b/crates/forward/src/explanation.rs
@@ -30,10 +30,19 @@
     pub target: String,
     /// Its availability zone.
     pub zone: String,
-    /// Its load divided by its slots, with all penalties.
+    /// Its learned speed relative to the mean of its service.
+    pub speed: f64,
+    /// Its load divided by its slots, with all penalties. Services with more targets in the zone than
+    /// the instance's subset are placed by expected waits and turns instead.
     pub load: f64,
+    /// Expected wait for a free slot, by the requests of all instances.
+    pub wait_ms: f64,
     /// Whether it responds, as seen by this instance.
     pub liveness: String,
+    /// Whether it fails requests.
+    pub failing: bool,
+    /// Whether its queue was full a moment ago.
+    pub refusing: bool,
     /// Whether it is in the sample that would be compared. Samples are drawn at random, so the next
     /// request may get another one.
     pub compared: bool,
@@ -47,6 +56,8 @@
 pub enum Exclusion {
     /// It only finishes its existing flows.
     Draining,
+    /// Its zone is evacuated.
+    Evacuated,
     /// It is cold, and its rate permits no opening of this instance now.
     Cold,
 }
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -6,12 +6,14 @@
 //! target can have written it for an open flow, and the targets that were tried in vain are told
 //! where the flow is open.
 
+use std::time::Duration;
+
 use tanager_core::Millis;
 
 use super::Forwarder;
 use crate::flows::{Binding, Flow, HalfOpen};
 use crate::lookup::Admission;
-use crate::view::Evidence;
+use crate::view::{Evidence, TargetEntry};
 use crate::{
     Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Liveness, Segment,
     SegmentKind, TargetNumber, TargetState,
@@ -20,6 +22,9 @@
 /// Maximum number of messages to peers between two calls of [`Forwarder::take_messages`].
 const MESSAGE_LIMIT: usize = 256;
 
+/// Time for which targets of a zone that is being evacuated still get corrections.
+const EVACUATION_GRACE: Duration = Duration::from_secs(1);
+
 /// Whether a packet of a flow can be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Bound {
@@ -190,16 +195,8 @@
             return;
         };
         if target != flow.target {
-            let (opening, running) = (!flow.is_open(), flow.is_running());
-            self.loads.close(flow.target, opening, running, now);
-            if opening {
-                self.loads.open(target, now);
-            } else {
-                self.loads.adopt(target, now);
-            }
-            if running {
-                self.loads.start_request(target, now);
-            }
+            self.loads.remove(flow.target, flow.load(), now);
+            self.loads.add(target, flow.load(), now);
             flow.target = target;
         }
         if flow.is_open() {
@@ -276,8 +273,8 @@
     }
 
     /// Sends the opening of a flow, with the cookie of its target, to the other targets that were
-    /// tried: they repeat the last cookie that they received. Targets that are leaving are left out,
-    /// since they must not receive an opening late.
+    /// tried: they repeat the last cookie that they received. Targets that are leaving or whose zone
+    /// has been evacuated for a while are left out, since they must not receive an opening late.
     fn correct_half_open(&mut self, key: &FlowKey, now: Millis) {
         let Some(flow) = self.flows.get(key) else {
             return;
@@ -288,8 +285,13 @@
         let target = flow.target;
         let others = half_open.tried.iter().filter(|n| **n != target);
         let entries = others.filter_map(|n| self.view.get(*n));
-        let usable =
-            entries.filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready);
+        let takes_openings = |e: &&TargetEntry| {
+            let evacuation = self.view.evacuation(&e.target.zone);
+            evacuation.is_none_or(|e| now.since(e.since) < EVACUATION_GRACE)
+        };
+        let usable = entries
+            .filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready)
+            .filter(takes_openings);
         let usable: Vec<_> = usable.map(|e| e.target.number).collect();
         let packet = half_open.packet.clone();
         let before = self.corrections.len();
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -6,7 +6,8 @@
 
 use super::binding::Bound;
 use super::{EVENT_LIMIT, Forwarder, is_after};
-use crate::flows::{Request, Shed};
+use crate::flows::{Flow, Request, Shed};
+use crate::load::FlowLoad;
 use crate::{Action, DropReason, FlowKey, Segment, SegmentKind, TargetNumber};
 
 /// Age of a request from which repeated data counts as a retransmission rather than as reordered.
@@ -52,16 +53,25 @@
         }
         match segment.kind {
             SegmentKind::Abort => self.remove_flow(&key, now),
-            SegmentKind::Finish => {
-                if let Some(flow) = self.flows.get_mut(&key) {
-                    flow.finished = true;
-                }
-            }
+            SegmentKind::Finish => self.finish_flow(&key, now),
             _ => {}
         }
         self.forward_to(target).map(Action::Forward)
     }
 
+    /// Records that a flow's client sends no further requests.
+    fn finish_flow(&mut self, key: &FlowKey, now: Millis) {
+        let Some(flow) = self.flows.get_mut(key).filter(|f| !f.finished) else {
+            return;
+        };
+        flow.finished = true;
+        let ended = FlowLoad {
+            unfinished: true,
+            ..FlowLoad::default()
+        };
+        self.loads.remove(flow.target, ended, now);
+    }
+
     /// Returns whether a packet begins a request: it has new data while no answer is outstanding.
     fn is_new_request(&self, segment: &Segment) -> bool {
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
@@ -102,6 +112,9 @@
         let target = flow.target;
         if is_after(segment.acknowledged, flow.acknowledged) {
             flow.acknowledged = segment.acknowledged;
+            if let Some(pending) = &mut flow.pending_answer {
+                pending.answered.get_or_insert(now);
+            }
             self.liveness.record_response(target, now);
             if let Some(request) = flow.request.take() {
                 self.end_request(&key, target, request, now);
@@ -119,6 +132,13 @@
             self.admission.end(load);
         }
         self.record_answer_time(key, time);
+        let length = self.flows.get(key).and_then(Flow::answer_length);
+        let short = length.is_some_and(|l| self.health.is_short(key.service, l));
+        // The answer to a repeated request may belong to either copy, and a request that failed at
+        // once tells nothing about others.
+        if !request.retransmitted && !short {
+            self.load_times.record(key.service, time);
+        }
         if self.answer_times.len() < EVENT_LIMIT {
             self.answer_times.push(time);
         }
@@ -135,7 +155,8 @@
         if is_after(end, flow.sent) {
             flow.sent = end;
             if flow.request.is_none() {
-                self.flows.start_request(key, now);
+                let load_time = self.load_times.load_time(key.service);
+                self.flows.start_request(key, load_time, now);
                 self.loads.start_request(target, now);
                 self.start_counting(&key, now);
             }
--- a/crates/forward/src/forwarder/explain.rs
+++ b/crates/forward/src/forwarder/explain.rs
@@ -2,10 +2,9 @@
 
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
-use tanager_core::{Millis, PublishedService};
+use tanager_core::Millis;
 
 use super::{Forwarder, route_of};
-use crate::place::Placement;
 use crate::{Candidate, Explanation, FlowKey, ResetReason};
 
 /// Maximum number of targets that an explanation lists.
@@ -33,11 +32,14 @@
         explanation.route = Some(route.name.clone());
         explanation.service = Some(service.to_string());
         let seed = u64::from(flow.distribution_hash()) ^ now.get();
-        let placement = self.placement(now);
-        explanation.candidates = candidates(&placement, service, seed);
-        explanation.targets = explanation.candidates.len();
+        let mut rng = StdRng::seed_from_u64(seed);
+        let explained = self
+            .placement
+            .explain(&self.observations(now), service, &mut rng);
+        explanation.targets = explained.candidates.len();
+        explanation.candidates = sorted(explained.candidates);
         explanation.candidates.truncate(CANDIDATE_LIMIT);
-        let choice = placement.choose(service, &[], &mut StdRng::seed_from_u64(seed));
+        let choice = explained.choice;
         let refusal = match choice {
             None => Some(self.no_target_reason(service, now)),
             Some(choice) => self
@@ -51,10 +53,8 @@
     }
 }
 
-/// Returns the targets of a service: compared ones, excluded ones, and others, each by load.
-fn candidates(placement: &Placement<'_>, service: &PublishedService, seed: u64) -> Vec<Candidate> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut candidates = placement.candidates(service, &mut rng);
+/// Sorts the targets of a service: compared ones, excluded ones, and others, each by load.
+fn sorted(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
     candidates.sort_by(|a, b| {
         let rank = |c: &Candidate| (!c.compared, c.excluded.is_none());
         let ranks = rank(a).cmp(&rank(b));
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -26,12 +26,17 @@
     pub cold: usize,
     /// Those of them to which this instance may open flows.
     pub granted: usize,
+    /// Evacuated zones.
+    pub evacuated: usize,
 }
 
 impl Forwarder {
     /// Returns the events since the last call.
     pub fn take_events(&mut self, now: Millis) -> Vec<Event> {
         self.record_liveness_changes(now);
+        for evacuation in self.view.take_evacuation_events() {
+            self.record_event(Event::Evacuation(evacuation));
+        }
         std::mem::take(&mut self.events)
     }
 
@@ -74,6 +79,7 @@
             failing: self.health.failing_count(),
             cold: self.cold.len(),
             granted: self.warmup.granted(now),
+            evacuated: self.view.evacuations().count(),
         }
     }
 }
--- a/crates/forward/src/forwarder/warmup.rs
+++ b/crates/forward/src/forwarder/warmup.rs
@@ -79,6 +79,7 @@
         let withheld = self.view.published().any(|e| {
             e.target.service == *service
                 && e.target.state == TargetState::Ready
+                && self.view.evacuation(&e.target.zone).is_none()
                 && is_limited(e, &self.view, now)
         });
         if withheld {
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -53,10 +53,25 @@
 
 /// Outcome of a request, inferred from its client's packets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Outcome {
+pub enum Outcome {
     Answered,
     /// The answer is missing or very short.
     Failed,
+    /// The answer is very short and came soon, from a target that had enough requests for its queue to
+    /// be full. The request has not run.
+    Refused,
+}
+
+/// An answer to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// The address to which the request was sent.
+    pub route: Endpoint,
+    /// Bytes that the client has acknowledged.
+    pub length: u32,
+    /// Whether it came so soon, from a target with so many requests in flight, that a short one
+    /// tells of a full queue.
+    pub suits_refusal: bool,
 }
 
 /// Outcomes of requests to a target. All counts decay with time.
@@ -105,6 +120,16 @@
         self.misses >= REMAINS_UNRESPONSIVE_MISSES && self.misses > self.total() * UNRESPONSIVE_RATE
     }
 
+    /// Returns the number of successful answers per second.
+    pub(crate) fn sound_rate(self) -> f64 {
+        self.sound / SUCCESS_DECAY_TIME.as_secs_f64()
+    }
+
+    /// Returns the number of answered and failed requests per second.
+    pub(crate) fn rate(self) -> f64 {
+        self.sound_rate() + self.failures / FAILURE_DECAY_TIME.as_secs_f64()
+    }
+
     fn total(self) -> f64 {
         self.sound + self.failures + self.misses + PRIOR_SUCCESSES
     }
@@ -151,6 +176,11 @@
 }
 
 impl TypicalLength {
+    fn is_short(&self, length: u32) -> bool {
+        let established = self.answers >= MIN_ANSWERS;
+        established && f64::from(length) < MAX_ERROR_LENGTH.min(self.length * SHORT_RATIO)
+    }
+
     /// Updates the estimate with an answer. It tracks the median of the answers that are not
     /// `short`, since most answers of overloaded targets are errors.
     fn observe(&mut self, length: f64, short: bool) {
@@ -186,27 +216,59 @@
     typical_lengths: FastMap<Endpoint, TypicalLength>,
     own: FastMap<TargetNumber, TimedTally>,
     others: FastMap<TargetNumber, TimedTally>,
+    /// Refused requests of this instance, which decay as successful answers do.
+    refused: FastMap<TargetNumber, TimedTally>,
+    /// Until when targets that have refused a request count as full.
+    refusing: FastMap<TargetNumber, Millis>,
     /// Targets last logged as failing. Invariant: contains no duplicates.
     failing: Vec<TargetNumber>,
 }
 
 impl Health {
-    /// Classifies the answer to a request that was sent to the address of `route`, and counts it.
-    /// Returns whether it was successful.
-    pub fn record_answer(
-        &mut self,
-        target: TargetNumber,
-        route: Endpoint,
-        length: u32,
-        now: Millis,
-    ) -> bool {
-        let outcome = self.classify(route, length);
-        let tally = match outcome {
-            Outcome::Answered => Tally::ANSWERED,
-            Outcome::Failed => Tally::FAILED,
+    /// Classifies the answer to a request, and counts it unless the request was refused.
+    pub fn record_answer(&mut self, target: TargetNumber, answer: Answer, now: Millis) -> Outcome {
+        let outcome = match self.classify(answer.route, answer.length) {
+            Outcome::Failed if answer.suits_refusal && answer.length > 0 => Outcome::Refused,
+            outcome => outcome,
+        };
+        match outcome {
+            Outcome::Answered => self.add(target, Tally::ANSWERED, now),
+            Outcome::Failed => self.add(target, Tally::FAILED, now),
+            Outcome::Refused => self.count_refusal(target, now),
+        }
+        outcome
+    }
+
+    fn count_refusal(&mut self, target: TargetNumber, now: Millis) {
+        let refused = self.refused.entry(target).or_default();
+        *refused = TimedTally {
+            tally: refused.decayed_at(now).add_scaled(Tally::ANSWERED, 1.0),
+            at: now,
         };
-        self.add(target, tally, now);
-        outcome == Outcome::Answered
+    }
+
+    /// Returns the share of a target's recent answers to this instance that were refusals.
+    pub fn refused_share(&self, target: TargetNumber, now: Millis) -> f64 {
+        let refused = self.refused.get(&target);
+        let refused = refused.map_or(0.0, |r| r.decayed_at(now).sound);
+        refused / (refused + self.own(target, now).sound + PRIOR_SUCCESSES)
+    }
+
+    /// Returns whether an answer of this length is so short that it is probably an error.
+    pub fn is_short(&self, route: Endpoint, length: u32) -> bool {
+        let typical = self.typical_lengths.get(&route);
+        typical.is_some_and(|t| t.is_short(length))
+    }
+
+    /// Records that a target has refused a request because its queue is full. It counts as refusing
+    /// until `end`.
+    pub fn record_refusal(&mut self, target: TargetNumber, end: Millis) {
+        self.refusing.insert(target, end);
+    }
+
+    /// Returns whether a target's queue is still full, as far as refused requests tell.
+    pub fn is_refusing(&self, target: TargetNumber, now: Millis) -> bool {
+        self.refusing.get(&target).is_some_and(|end| now < *end)
     }
 
     /// Counts a request that a client retransmitted because the target did not accept it.
@@ -226,11 +288,9 @@
         if length == 0 {
             return Outcome::Failed;
         }
-        let length = f64::from(length);
         let typical = self.typical_lengths.entry(route).or_default();
-        let established = typical.answers >= MIN_ANSWERS;
-        let short = established && length < MAX_ERROR_LENGTH.min(typical.length * SHORT_RATIO);
-        typical.observe(length, short);
+        let short = typical.is_short(length);
+        typical.observe(f64::from(length), short);
         if short {
             Outcome::Failed
         } else {
@@ -301,12 +361,16 @@
     pub fn clear(&mut self, target: TargetNumber) {
         self.own.remove(&target);
         self.others.remove(&target);
+        self.refused.remove(&target);
+        self.refusing.remove(&target);
     }
 
     /// Removes all targets for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(TargetNumber) -> bool) {
         self.own.retain(|target, _| keep(*target));
         self.others.retain(|target, _| keep(*target));
+        self.refused.retain(|target, _| keep(*target));
+        self.refusing.retain(|target, _| keep(*target));
         self.failing.retain(|target| keep(*target));
     }
 
--- a/crates/forward/src/load.rs
+++ b/crates/forward/src/load.rs
@@ -26,10 +26,15 @@
 }
 
 impl OwnLoad {
-    fn update_average(&mut self, now: Millis) {
+    /// Returns the moving average of `waiting`.
+    fn average(&self, now: Millis) -> f64 {
         let elapsed = now.since(self.updated).as_secs_f64();
         let weight = 1.0 - (-elapsed / AVERAGING_TIME.as_secs_f64()).exp();
-        self.busy += (f64::from(self.waiting) - self.busy) * weight;
+        self.busy + (f64::from(self.waiting) - self.busy) * weight
+    }
+
+    fn update_average(&mut self, now: Millis) {
+        self.busy = self.average(now);
         self.updated = now;
     }
 }
@@ -63,6 +68,17 @@
     }
 }
 
+/// What a flow contributes to the load of its target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FlowLoad {
+    /// Whether its client may send further requests.
+    pub unfinished: bool,
+    /// Whether the target has not answered the opening.
+    pub opening: bool,
+    /// Whether a request has no answer so far.
+    pub waiting: bool,
+}
+
 /// The load of one target, as used for placement.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Load {
@@ -108,12 +124,21 @@
         });
     }
 
-    /// Counts the end of a flow, which may be opening or waiting for an answer.
-    pub fn close(&mut self, target: TargetNumber, opening: bool, waiting: bool, now: Millis) {
+    /// Counts a flow that has moved from another target.
+    pub fn add(&mut self, target: TargetNumber, load: FlowLoad, now: Millis) {
         self.change(target, now, |own| {
-            own.flows = own.flows.saturating_sub(1);
-            own.opening = own.opening.saturating_sub(u32::from(opening));
-            own.waiting = own.waiting.saturating_sub(u32::from(waiting));
+            own.flows += u32::from(load.unfinished);
+            own.opening += u32::from(load.opening);
+            own.waiting += u32::from(load.waiting);
+        });
+    }
+
+    /// Stops counting a flow, or parts of its load.
+    pub fn remove(&mut self, target: TargetNumber, load: FlowLoad, now: Millis) {
+        self.change(target, now, |own| {
+            own.flows = own.flows.saturating_sub(u32::from(load.unfinished));
+            own.opening = own.opening.saturating_sub(u32::from(load.opening));
+            own.waiting = own.waiting.saturating_sub(u32::from(load.waiting));
         });
     }
 
@@ -141,6 +166,12 @@
         }
     }
 
+    /// Returns the mean number of running requests of all instances in the last second.
+    pub fn mean_running(&self, target: TargetNumber, now: Millis) -> f64 {
+        let own = self.own.get(&target).map_or(0.0, |o| o.average(now));
+        own + self.get(target, now).others
+    }
+
     /// Returns the load that this instance places on each target, without a tally.
     pub fn own(&mut self, now: Millis) -> impl Iterator<Item = (TargetNumber, TargetLoad)> {
         self.own.iter_mut().map(move |(target, own)| {
--- a/crates/forward/src/placement/cold.rs
+++ b/crates/forward/src/placement/cold.rs
@@ -148,10 +148,10 @@
         last.is_none_or(|at| now.since(*at) >= lease.interval)
     }
 
-    /// Returns whether an opening may be sent now to a target, which may not be cold.
-    #[must_use]
-    pub fn accepts(&self, entry: &TargetEntry, view: &View, now: Millis) -> bool {
-        !is_limited(entry, view, now) || self.allows(entry.target.number, now)
+    /// Returns the targets to which an opening may be sent now if they are cold and have a rate.
+    pub fn allowed(&self, now: Millis) -> impl Iterator<Item = TargetNumber> {
+        let targets = self.leases.keys().copied();
+        targets.filter(move |target| self.allows(*target, now))
     }
 
     /// Records that an opening was sent to a cold target with a rate.
--- a/crates/forward/src/placement/mod.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Parts of the placement of new flows.
-
-pub mod cold;
--- a/crates/forward/tests/cold_rate_bound.rs
+++ b/crates/forward/tests/cold_rate_bound.rs
@@ -190,8 +190,9 @@
         let mut sent = Vec::new();
         for to in recipients {
             let view = (view, Some(Duration::ZERO));
-            let beacon = self.membership.beacon(to, role, view, &[], now);
-            sent.push((to, Payload::Beacon(Box::new(beacon))));
+            for beacon in self.membership.beacons(to, role, view, &[], now) {
+                sent.push((to, Payload::Beacon(Box::new(beacon))));
+            }
         }
         self.membership.expire(now);
         let standing = self.membership.zone_standing(now);
@@ -216,8 +217,11 @@
                 let role = self.role(at);
                 answers.then(|| {
                     let view = (beacon.view(), Some(Duration::ZERO));
-                    let answer = self.membership.beacon(beacon.from, role, view, &[], now);
-                    (beacon.from, Payload::Beacon(Box::new(answer)))
+                    let to = beacon.from;
+                    let answers = self.membership.beacons(to, role, view, &[], now);
+                    // Without loads, a round is a single beacon.
+                    let [answer] = answers.try_into().expect("one beacon");
+                    (to, Payload::Beacon(Box::new(answer)))
                 })
             }
             Payload::Warmup(message) => {
--- a/crates/forward/tests/cold_targets.rs
+++ b/crates/forward/tests/cold_targets.rs
@@ -10,8 +10,9 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::{Incarnation, Millis};
 use tanager_forward::{
-    Action, Change, DropReason, Event, Forwarder, ResetReason, Route, RouteTable, ServiceRate,
-    StoreRevision, Target, TargetNumber, ViewVersion, WarmupRate, WarmupRates, ZoneStanding,
+    Action, Change, DropReason, EvacuationChange, Event, Exclusion, Forwarder, ResetReason,
+    RingPoint, Route, RouteTable, ServiceRate, StoreRevision, Target, TargetNumber, ViewVersion,
+    WarmupRate, WarmupRates, ZoneStanding,
 };
 
 /// Time after which an instance that is alone has granted its targets to itself.
@@ -250,3 +251,102 @@
     let received = |name: &str| peer.view().routes().warmup_rate(&service(name)).to_string();
     assert_eq!(["feeds", "orders"].map(received), ["4/s", "2/s"]);
 }
+
+/// Makes an instance one of 20 in its zone, so that it uses a subset of many targets.
+fn use_subset(forwarder: &mut Forwarder) {
+    forwarder.set_ring_point(RingPoint {
+        point: 0.3,
+        instances: 20,
+    });
+}
+
+/// Guards against a choice in a subset, or beyond it when its targets are full, that sends flows to
+/// cold targets without a grant.
+#[test]
+fn subsets_contain_no_cold_target_without_a_grant() {
+    let warm = (1..=30).map(|n| target(n, "feeds", "a"));
+    let cold = (31..=60).map(|n| self::cold(n, "a"));
+    let mut forwarder = instance(warm.chain(cold), 4.0);
+    use_subset(&mut forwarder);
+
+    for port in 1..=600 {
+        let chosen = open(&mut forwarder, port, at(u64::from(port) / 10));
+        assert!(chosen.expect("a target") <= TargetNumber::new(30), "{port}");
+    }
+}
+
+/// Guards against a service that is refused although one of its many cold targets has warmed up or
+/// another zone has a target.
+#[test]
+fn the_only_target_that_needs_no_grant_is_found() {
+    let cold = (2..=60).map(|n| self::cold(n, "a"));
+    let early = Target {
+        warmup: Duration::from_secs(1),
+        ..target(61, "feeds", "a")
+    };
+    let far = target(1, "feeds", "b");
+    let mut forwarder = instance(cold.chain([early, far]), 4.0);
+    use_subset(&mut forwarder);
+
+    assert_eq!(open(&mut forwarder, 1, at(900)), Some(TargetNumber::new(1)));
+    assert_eq!(
+        open(&mut forwarder, 2, at(1_000)),
+        Some(TargetNumber::new(61))
+    );
+}
+
+/// Guards against grants that remain unused where the instance uses a subset, and against more
+/// openings than the rate.
+#[test]
+fn granted_targets_are_used_beside_a_subset() {
+    let cold = (2..=60).map(|n| self::cold(n, "a"));
+    let mut forwarder = instance(cold, 4.0);
+    use_subset(&mut forwarder);
+    grant(&mut forwarder, GRANTED);
+
+    let opened = (1..=200).filter_map(|port| open(&mut forwarder, port, at(GRANTED + 10)));
+    let mut opened: Vec<_> = opened.collect();
+    opened.sort_unstable();
+    let openings = opened.len();
+    opened.dedup();
+
+    assert_eq!((openings, opened.len()), (59, 59));
+}
+
+/// Guards against a grant that outweighs an evacuation, and against a wrong cause of the reset.
+#[test]
+fn granted_targets_of_an_evacuated_zone_receive_nothing() {
+    let mut forwarder = instance([cold(1, "a")], 4.0);
+    grant(&mut forwarder, GRANTED);
+    let evacuation = EvacuationChange {
+        zone: zone("a"),
+        revision: common::later(1),
+        ended: false,
+    };
+    forwarder.apply_evacuation(evacuation, at(GRANTED));
+
+    assert_eq!(open(&mut forwarder, 1, at(GRANTED)), None);
+    let events = forwarder.take_events(at(GRANTED));
+    let no_target =
+        |e: &Event| matches!(e, Event::Reset { reason, .. } if *reason == ResetReason::NoTarget);
+    assert!(events.iter().any(no_target), "{events:?}");
+    let explanation = forwarder.explain(&common::flow(2, FEED_PORT), at(GRANTED));
+    let excluded = explanation.candidates[0].excluded;
+    assert_eq!(excluded, Some(Exclusion::Evacuated));
+    assert_eq!(explanation.chosen, None);
+}
+
+/// Guards against an explanation that hides why a cold target is left out.
+#[test]
+fn a_cold_target_without_a_grant_is_explained() {
+    let mut forwarder = instance([cold(1, "a")], 4.0);
+    let flow = common::flow(1, FEED_PORT);
+
+    let before = forwarder.explain(&flow, at(0));
+    grant(&mut forwarder, GRANTED);
+    let after = forwarder.explain(&flow, at(GRANTED));
+
+    assert_eq!(before.candidates[0].excluded, Some(Exclusion::Cold));
+    assert_eq!(before.refusal.as_deref(), Some("cold-targets"));
+    assert_eq!((after.candidates[0].excluded, after.admitted), (None, true));
+}
--- a/crates/forward/tests/explanations.rs
+++ b/crates/forward/tests/explanations.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{FEED_PORT, at, flow, seeded_forwarder, target};
-use tanager_forward::{Exclusion, FlowKey, Forwarder, Target, TargetState};
+use common::{FEED_PORT, at, flow, open_flow, seeded_forwarder, target};
+use tanager_forward::{
+    Event, Exclusion, FlowKey, Forwarder, RingPoint, Target, TargetNumber, TargetState,
+};
 
 fn instance() -> Forwarder {
     let draining = Target {
@@ -57,3 +59,38 @@
     assert!(!explanation.admitted);
     assert_eq!(explanation.refusal.as_deref(), Some("no-route"));
 }
+
+/// Returns the targets of 200 flows of an instance that uses a subset of 60 targets or all of 5.
+/// `explains` tells whether each flow is preceded by an explanation of it.
+fn placements(targets: u64, explains: bool) -> Vec<(TargetNumber, f64)> {
+    let mut forwarder = seeded_forwarder((1..=targets).map(|n| target(n, "feeds", "a")), 7);
+    forwarder.set_ring_point(RingPoint {
+        point: 0.3,
+        instances: 20,
+    });
+    for port in 1..=200 {
+        let now = at(u64::from(port));
+        if explains {
+            let explanation = forwarder.explain(&flow(port, FEED_PORT), now);
+            assert!(explanation.admitted);
+        }
+        open_flow(&mut forwarder, port, FEED_PORT, now);
+    }
+    let events = forwarder.take_events(at(200));
+    let placed = events.into_iter().filter_map(|e| match e {
+        Event::Placed { target, load, .. } => Some((target, load)),
+        _ => None,
+    });
+    placed.collect()
+}
+
+/// Guards against explanations that advance the random generator, take a turn or count as a flow.
+#[test]
+fn explanations_change_no_later_decision() {
+    for targets in [5, 60] {
+        let undisturbed = placements(targets, false);
+
+        assert_eq!(undisturbed.len(), 200);
+        assert_eq!(placements(targets, true), undisturbed, "{targets} targets");
+    }
+}
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -90,6 +90,8 @@
     if role == Role::Hub {
         apply_peer_loads(instance, role);
     }
+    let ring = instance.membership.borrow().ring_point(role, now);
+    instance.forwarder.borrow_mut().set_ring_point(ring);
     let searching = instance.is_searching();
     let mut membership = instance.membership.borrow_mut();
     let recipients = membership.recipients(role, searching, now);
@@ -101,8 +103,8 @@
     send_beacon(socket, instance, &other, role);
 }
 
-/// Sends the same beacon to several receivers. Either all of them are known to be in this
-/// instance's zone or none of them is.
+/// Sends the same beacons to several receivers, to each of a hub's zone with its position. Either all
+/// of them are known to be in this instance's zone or none of them is.
 fn send_beacon(socket: &UdpSocket, instance: &Instance, receivers: &[SocketAddrV4], role: Role) {
     let Some(first) = receivers.first() else {
         return;
@@ -114,19 +116,41 @@
         (view, forwarder.load_report(now))
     };
     let mut membership = instance.membership.borrow_mut();
-    let beacon = membership.beacon(*first, role, view, &loads, now);
-    let log = &instance.reporter.log;
-    let bytes = match postcard::to_stdvec(&beacon) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            warn!(log, "[peer] beacon not written"; "error" => %error);
-            return;
+    let beacons = membership.beacons(*first, role, view, &loads, now);
+    let positions = (role == Role::Hub).then(|| membership.zone_positions(now));
+    drop(membership);
+    for mut beacon in beacons {
+        if !beacon.hub || beacon.load_part.index > 0 {
+            let Some(bytes) = encode(&beacon, instance) else {
+                return;
+            };
+            for to in receivers {
+                send_datagram(socket, instance, &bytes, *to);
+            }
+            continue;
         }
-    };
-    for to in receivers {
-        match socket.try_send_to(&bytes, (*to).into()) {
-            Ok(_) => instance.reporter.counters.beacons_sent.increment(),
-            Err(error) => slog::debug!(log, "[peer] send failed"; "error" => %error),
+        for to in receivers {
+            beacon.position = positions.as_ref().and_then(|p| p.get(*to));
+            if let Some(bytes) = encode(&beacon, instance) {
+                send_datagram(socket, instance, &bytes, *to);
+            }
+        }
+    }
+}
+
+fn encode(beacon: &Beacon, instance: &Instance) -> Option<Vec<u8>> {
+    let bytes = postcard::to_stdvec(beacon);
+    if let Err(error) = &bytes {
+        warn!(instance.reporter.log, "[peer] beacon not written"; "error" => %error);
+    }
+    bytes.ok()
+}
+
+fn send_datagram(socket: &UdpSocket, instance: &Instance, bytes: &[u8], to: SocketAddrV4) {
+    match socket.try_send_to(bytes, to.into()) {
+        Ok(_) => instance.reporter.counters.beacons_sent.increment(),
+        Err(error) => {
+            slog::debug!(instance.reporter.log, "[peer] send failed"; "error" => %error);
         }
     }
 }
@@ -148,9 +172,13 @@
         let mut membership = instance.membership.borrow_mut();
         let is_new = membership.is_new_incarnation(&beacon);
         membership.apply_beacon(&beacon, now);
-        let view = instance.forwarder.borrow().view().version();
+        let forwarder = instance.forwarder.borrow();
+        let view = forwarder.view().version();
+        // Grants need every instance of the zone. Without rates, beacons stay as they were.
+        let misses_hub =
+            forwarder.view().routes().has_rates() && membership.misses_hub(&beacon, now);
         let newer = is_new || membership.peer_with_newer_view(view, now).is_some();
-        (is_new, membership.misses_hub(&beacon, now), newer)
+        (is_new, misses_hub, newer)
     };
     if is_new && !beacon.leaving {
         info!(instance.reporter.log, "[membership] instance heard";
@@ -220,7 +248,9 @@
         let status = answer.status.as_u16();
         return Err(Error::Refused { address, status });
     }
-    let delta: Delta = postcard::from_bytes(&answer.body).map_err(Error::answer)?;
+    let delta: std::result::Result<Delta, _> = postcard::from_bytes(&answer.body);
+    instance.view_unreadable.set(delta.is_err());
+    let delta = delta.map_err(Error::answer)?;
     instance.reporter.counters.views_pulled.increment();
     let now = instance.now();
     let mut forwarder = instance.forwarder.borrow_mut();
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -8,8 +8,8 @@
 
 use tanager_core::{Clock, Incarnation};
 use tanager_forward::{
-    Change, Epoch, Kind, Route, RouteTable, ServiceShare, StoreRevision, Target, TargetNumber,
-    TargetState,
+    Beacon, Change, Epoch, EvacuationChange, Kind, LoadPart, Route, RouteTable, ServiceShare,
+    StoreRevision, Target, TargetNumber, TargetState,
 };
 use tanagerproxy::settings::ForwarderSettings;
 use tokio::task::{LocalSet, spawn_local};
@@ -145,6 +145,14 @@
     }
 }
 
+fn evacuation(name: &str, revision: u64) -> EvacuationChange {
+    EvacuationChange {
+        zone: name.parse().expect("a name"),
+        revision: revision_at(revision),
+        ended: false,
+    }
+}
+
 /// Moves a page to another epoch.
 fn in_epoch(epoch: Epoch, mut page: Page) -> Page {
     page.batch.revision.epoch = epoch;
@@ -278,3 +286,86 @@
         assert!(!instance.forwarder.borrow().view().is_usable());
     });
 }
+
+/// Guards against evacuations that a full read misses, or that outlast their removal because the
+/// store no longer has the change. That of a zone that the settings do not name is followed as well.
+#[test]
+fn a_full_read_begins_and_ends_evacuations() {
+    run(async {
+        let instance = instance();
+        let now = instance.now();
+        let former = evacuation("former", 5);
+        instance
+            .forwarder
+            .borrow_mut()
+            .apply_evacuation(former, now);
+        SCRIPT.with_borrow_mut(|s| {
+            let mut listed = routes(7);
+            for zone in ["a", "unknown"] {
+                let change = evacuation(zone, 6);
+                listed.items.push(Publication::Evacuation(change));
+            }
+            s.pages.push_back(Ok(page(1, 7, false)));
+            s.routes.push_back(Ok(listed));
+        });
+
+        Reader::<ScriptedStore>::new(Rc::clone(&instance))
+            .read()
+            .await
+            .expect("a full read");
+
+        let forwarder = instance.forwarder.borrow();
+        let zones = forwarder.view().evacuations().map(|e| e.zone.to_string());
+        let mut zones: Vec<_> = zones.collect();
+        zones.sort_unstable();
+        assert_eq!(zones, ["a", "unknown"]);
+    });
+}
+
+/// Guards against an instance that hardly starts in a fleet of an older build, whose views it cannot
+/// decode: it waited for them after each page.
+#[test]
+fn a_full_read_does_not_wait_for_views_that_cannot_be_decoded() {
+    run(async {
+        let instance = instance();
+        let now = instance.now();
+        let higher = Beacon {
+            from: SocketAddrV4::new(Ipv4Addr::new(127, 0, 0, 2), 7_720),
+            incarnation: Incarnation::new(1),
+            zone: 0,
+            capacity: 4_000,
+            leaving: false,
+            store_reachable: true,
+            hub: true,
+            revision: 7,
+            age_ms: 0,
+            members: Vec::new(),
+            loads: Vec::new(),
+            epoch: EPOCH,
+            routes: 1,
+            load_part: LoadPart {
+                round: 1,
+                index: 0,
+                parts: 1,
+                rounds: 1,
+            },
+            position: None,
+        };
+        instance.membership.borrow_mut().apply_beacon(&higher, now);
+        instance.view_unreadable.set(true);
+        SCRIPT.with_borrow_mut(|s| {
+            let pages = (1..=12).map(|n| Ok(page(n, 7, n < 12)));
+            s.pages.extend(pages);
+            s.routes.push_back(Ok(routes(7)));
+        });
+
+        Reader::<ScriptedStore>::new(Rc::clone(&instance))
+            .read()
+            .await
+            .expect("a full read");
+
+        assert!(instance.membership.borrow().is_outranked(instance.now()));
+        let elapsed = instance.now().since(now);
+        assert!(elapsed < Duration::from_secs(1), "took {elapsed:?}");
+    });
+}
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -8,7 +8,7 @@
 use opentelemetry::metrics::Histogram;
 use slog::{Logger, info, warn};
 use tanager_core::{Clock, Millis};
-use tanager_forward::{DropReason, Event, Gauges, ResetReason, StoreRevision};
+use tanager_forward::{DropReason, Evacuation, Event, Gauges, ResetReason, StoreRevision};
 use tanagerproxy::counters;
 use tanagerproxy::settings::LogSettings;
 use tanagerproxy::telemetry::{Exporter, Log};
@@ -98,6 +98,7 @@
     failing: AtomicU64,
     cold: AtomicU64,
     granted: AtomicU64,
+    evacuated: AtomicU64,
     peers: AtomicU64,
     ready: AtomicU64,
 }
@@ -116,6 +117,7 @@
         set(&self.failing, gauges.failing);
         set(&self.cold, gauges.cold);
         set(&self.granted, gauges.granted);
+        set(&self.evacuated, gauges.evacuated);
         set(&self.peers, peers);
         set(&self.ready, usize::from(ready));
     }
@@ -153,6 +155,7 @@
         "Cold targets to which this instance may open flows.",
         |c| &c.granted,
     ),
+    ("zones_evacuated", "Evacuated zones.", |c| &c.evacuated),
     ("peers", "Other instances heard from.", |c| &c.peers),
     ("ready", "1 if the instance takes packets.", |c| &c.ready),
 ];
@@ -269,7 +272,7 @@
             let first = matches!(event, Event::Placed { attempt: 0, .. });
             let limiter = if first { &self.placed } else { &self.other };
             if limiter.try_consume(now) {
-                self.write(event, revision, age);
+                self.write(event, revision, age, now);
             } else {
                 self.counters.log_lines_left_out.increment();
                 self.suppressed_lines.set(self.suppressed_lines.get() + 1);
@@ -333,11 +336,15 @@
                 }
             }
             Event::HalfOpenCorrected { .. } => counters.half_open_corrected.increment(),
-            Event::Liveness(_) | Event::Health(_) | Event::Limit(_) | Event::Grants { .. } => {}
+            Event::Liveness(_)
+            | Event::Health(_)
+            | Event::Evacuation(_)
+            | Event::Limit(_)
+            | Event::Grants { .. } => {}
         }
     }
 
-    fn write(&self, event: &Event, revision: StoreRevision, age_ms: Option<u64>) {
+    fn write(&self, event: &Event, revision: StoreRevision, age_ms: Option<u64>, now: Millis) {
         match event {
             Event::Placed {
                 flow,
@@ -346,10 +353,12 @@
                 load,
                 candidates,
                 withheld,
+                examined,
                 attempt,
             } => info!(self.log, "[forward] placed";
                 "flow" => %flow, "service" => %service, "target" => %target,
                 "load" => rounded(*load), "candidates" => candidates, "withheld" => withheld,
+                "examined" => examined,
                 "attempt" => attempt, "revision" => %revision, "view_age_ms" => age_ms),
             Event::Reset {
                 flow,
@@ -390,12 +399,33 @@
             Event::Grants { granted, cold } => info!(self.log, "[forward] cold targets granted";
                 "granted" => granted, "cold" => cold,
                 "revision" => %revision, "view_age_ms" => age_ms),
+            Event::Evacuation(evacuation) => {
+                self.write_evacuation(evacuation, revision, age_ms, now);
+            }
             Event::Limit(change) => info!(self.log, "[forward] service limit";
                 "service" => %change.service, "limit" => change.limit.map(rounded),
                 "running" => change.running, "late_share" => rounded(change.late_share),
                 "revision" => %revision, "view_age_ms" => age_ms),
         }
     }
+
+    fn write_evacuation(
+        &self,
+        evacuation: &Evacuation,
+        revision: StoreRevision,
+        age_ms: Option<u64>,
+        now: Millis,
+    ) {
+        let change = if evacuation.ended.is_some() {
+            "ended"
+        } else {
+            "began"
+        };
+        info!(self.log, "[catalogue] evacuation {}", change; "zone" => %evacuation.zone,
+            "published" => %evacuation.revision,
+            "followed_ms" => millis(now.since(evacuation.since)),
+            "revision" => %revision, "view_age_ms" => age_ms);
+    }
 }
 
 /// Returns whether an opening was not sent to a cold target because of its rate.
@@ -413,6 +443,7 @@
     (value * 1_000.0).round() / 1_000.0
 }
 
-fn millis(time: Duration) -> u64 {
+/// Returns a time in milliseconds, for the log and the status page.
+pub fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
