Test grants beside full subsets and during evacuations

Change: one test fills the subset by running requests; another evacuates the zone of a granted target while another zone has a cold one.

--- a/crates/forward/tests/cold_targets.rs
+++ b/crates/forward/tests/cold_targets.rs
@@ -260,6 +260,15 @@
     });
 }
 
+/// Opens 600 flows with a request each, which fill all warm targets, and returns their targets.
+fn busy_flows(forwarder: &mut Forwarder, now: Millis) -> Vec<TargetNumber> {
+    let open = |port| {
+        let mut client = common::open_flow(forwarder, port, FEED_PORT, now);
+        sent_to(client.send(forwarder, 500, now))
+    };
+    (1..=600).map(open).collect()
+}
+
 /// Guards against a choice in a subset, or beyond it when its targets are full, that sends flows to
 /// cold targets without a grant.
 #[test]
@@ -269,10 +278,9 @@
     let mut forwarder = instance(warm.chain(cold), 4.0);
     use_subset(&mut forwarder);
 
-    for port in 1..=600 {
-        let chosen = open(&mut forwarder, port, at(u64::from(port) / 10));
-        assert!(chosen.expect("a target") <= TargetNumber::new(30), "{port}");
-    }
+    let opened = busy_flows(&mut forwarder, at(100));
+
+    assert!(opened.iter().all(|t| *t <= TargetNumber::new(30)));
 }
 
 /// Guards against a service that is refused although one of its many cold targets has warmed up or
@@ -295,45 +303,54 @@
     );
 }
 
-/// Guards against grants that remain unused where the instance uses a subset, and against more
+/// Guards against grants that remain unused while the instance's subset is full, and against more
 /// openings than the rate.
 #[test]
-fn granted_targets_are_used_beside_a_subset() {
-    let cold = (2..=60).map(|n| self::cold(n, "a"));
-    let mut forwarder = instance(cold, 4.0);
+fn granted_targets_are_used_while_the_subset_is_full() {
+    let warm = (1..=30).map(|n| target(n, "feeds", "a"));
+    let cold = (31..=60).map(|n| self::cold(n, "a"));
+    let mut forwarder = instance(warm.chain(cold), 4.0);
     use_subset(&mut forwarder);
     grant(&mut forwarder, GRANTED);
 
-    let opened = (1..=200).filter_map(|port| open(&mut forwarder, port, at(GRANTED + 10)));
-    let mut opened: Vec<_> = opened.collect();
-    opened.sort_unstable();
-    let openings = opened.len();
-    opened.dedup();
+    let opened = busy_flows(&mut forwarder, at(GRANTED + 10));
+    let mut cold: Vec<_> = opened
+        .into_iter()
+        .filter(|t| *t > TargetNumber::new(30))
+        .collect();
+    cold.sort_unstable();
+    let openings = cold.len();
+    cold.dedup();
 
-    assert_eq!((openings, opened.len()), (59, 59));
+    assert_eq!((openings, cold.len()), (30, 30));
 }
 
-/// Guards against a grant that outweighs an evacuation, and against a wrong cause of the reset.
+/// Guards against a grant that outweighs an evacuation, and against a wrong cause of the reset, with
+/// or without a target elsewhere that needs a grant, too.
 #[test]
 fn granted_targets_of_an_evacuated_zone_receive_nothing() {
-    let mut forwarder = instance([cold(1, "a")], 4.0);
-    grant(&mut forwarder, GRANTED);
-    let evacuation = EvacuationChange {
-        zone: zone("a"),
-        revision: common::later(1),
-        ended: false,
-    };
-    forwarder.apply_evacuation(evacuation, at(GRANTED));
-
-    assert_eq!(open(&mut forwarder, 1, at(GRANTED)), None);
-    let events = forwarder.take_events(at(GRANTED));
-    let no_target =
-        |e: &Event| matches!(e, Event::Reset { reason, .. } if *reason == ResetReason::NoTarget);
-    assert!(events.iter().any(no_target), "{events:?}");
-    let explanation = forwarder.explain(&common::flow(2, FEED_PORT), at(GRANTED));
-    let excluded = explanation.candidates[0].excluded;
-    assert_eq!(excluded, Some(Exclusion::Evacuated));
-    assert_eq!(explanation.chosen, None);
+    for (others, cause) in [
+        (vec![], ResetReason::NoTarget),
+        (vec![cold(2, "b")], ResetReason::ColdTargets),
+    ] {
+        let mut forwarder = instance([cold(1, "a")].into_iter().chain(others), 4.0);
+        grant(&mut forwarder, GRANTED);
+        let evacuation = EvacuationChange {
+            zone: zone("a"),
+            revision: common::later(1),
+            ended: false,
+        };
+        forwarder.apply_evacuation(evacuation, at(GRANTED));
+
+        assert_eq!(open(&mut forwarder, 1, at(GRANTED)), None);
+        let events = forwarder.take_events(at(GRANTED));
+        let is_reset = |e: &Event| matches!(e, Event::Reset { reason, .. } if *reason == cause);
+        assert!(events.iter().any(is_reset), "{events:?}");
+        let explanation = forwarder.explain(&common::flow(2, FEED_PORT), at(GRANTED));
+        let mut excluded = explanation.candidates.iter().map(|c| c.excluded);
+        assert!(excluded.any(|e| e == Some(Exclusion::Evacuated)));
+        assert_eq!(explanation.chosen, None);
+    }
 }
 
 /// Guards against an explanation that hides why a cold target is left out.
