--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -61,6 +61,8 @@
     NoRoutes,
     /// Its service is overloaded. The client retransmits it.
     Overloaded,
+    /// It repeats an opening to a cold target whose rate does not permit it now.
+    ColdTarget,
     /// It is an opening that was sent to a target of a zone that is now evacuated, and no other
     /// target can take it.
     Evacuated,
@@ -74,6 +76,7 @@
             Self::UnknownTarget => "unknown-target",
             Self::NoRoutes => "no-routes",
             Self::Overloaded => "overloaded",
+            Self::ColdTarget => "cold-target",
             Self::Evacuated => "evacuated",
         })
     }
@@ -92,6 +95,8 @@
     TargetLost,
     /// The service is overloaded, and the flow has not opened.
     Overloaded,
+    /// All targets that could take the flow are cold, and their rate does not permit it now.
+    ColdTargets,
 }
 
 impl fmt::Display for ResetReason {
@@ -102,6 +107,7 @@
             Self::TargetGone => "target-gone",
             Self::TargetLost => "target-lost",
             Self::Overloaded => "overloaded",
+            Self::ColdTargets => "cold-targets",
         })
     }
 }
@@ -122,6 +128,8 @@
         load: f64,
         /// Number of ready targets of the service.
         candidates: usize,
+        /// Number of further ones that are cold and whose rate permitted no opening.
+        withheld: usize,
         /// Number of targets that were examined.
         examined: usize,
         /// 0 for the first target, then one more for each target that did not answer.
@@ -168,6 +176,13 @@
     Liveness(LivenessChange),
     /// A target started or stopped failing requests.
     Health(HealthChange),
+    /// This instance started or stopped holding grants to open flows to cold targets with a rate.
+    Grants {
+        /// Number of cold targets that it may open flows to.
+        granted: usize,
+        /// Number of all cold targets of its zone with a rate.
+        cold: usize,
+    },
     /// The evacuation of a zone began or ended.
     Evacuation(Evacuation),
     /// The requests in flight to a service started or stopped being limited.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -5,10 +5,12 @@
 mod answers;
 mod binding;
 mod established;
+mod explain;
 mod open;
 mod reports;
 mod resets;
 mod updates;
+mod warmup;
 
 use std::time::Duration;
 
@@ -29,8 +31,8 @@
 use crate::placement::{Choice, Observations, Placement};
 use crate::view::View;
 use crate::{
-    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, ResetReason,
-    Route, Segment, SegmentKind, TargetNumber,
+    Action, ColdTarget, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward,
+    ResetReason, Route, Segment, SegmentKind, TargetNumber, WarmupLimiter,
 };
 pub use reports::Gauges;
 
@@ -65,6 +67,12 @@
     load_times: AnswerTimes,
     placement: Placement,
     admission: Admission,
+    warmup: WarmupLimiter,
+    /// The cold targets of the local zone with a rate, as of the last round of beacons. A hub uses
+    /// them for the requests of its whole zone.
+    cold: Vec<ColdTarget>,
+    /// Whether this instance held grants for cold targets when they were last recorded.
+    holds_grants: bool,
     rng: StdRng,
     events: Vec<Event>,
     answer_times: Vec<Duration>,
@@ -94,6 +102,9 @@
             load_times: AnswerTimes::default(),
             placement: Placement::default(),
             admission: Admission::default(),
+            warmup: WarmupLimiter::default(),
+            cold: Vec::new(),
+            holds_grants: false,
             rng: StdRng::seed_from_u64(seed),
             events: Vec::new(),
             answer_times: Vec::new(),
@@ -183,6 +194,7 @@
         self.liveness.retain(|n| view.get(n).is_some());
         self.loads.retain(|n| view.get(n).is_some());
         self.health.retain(|n| view.get(n).is_some());
+        self.warmup.retain(|n| view.get(n).is_some());
         self.placement.retain(|n| view.get(n).is_some());
         self.health
             .retain_routes(|address| view.routes().find(address).is_some());
@@ -220,6 +232,7 @@
             liveness: &self.liveness,
             health: &self.health,
             loads: &self.loads,
+            warmup: &self.warmup,
             now,
         };
         self.placement.choose(&seen, service, tried, &mut self.rng)
@@ -244,6 +257,7 @@
             liveness: &self.liveness,
             health: &self.health,
             loads: &self.loads,
+            warmup: &self.warmup,
             now,
         }
     }
@@ -261,8 +275,8 @@
     }
 
     /// Forwards a packet that opens a flow.
-    fn open_at(&self, target: TargetNumber) -> Result<Forward, DropReason> {
-        self.forward_with(target, target.opening_cookie())
+    fn open_at(&mut self, target: TargetNumber, now: Millis) -> Result<Forward, DropReason> {
+        self.send_opening(target, target.opening_cookie(), now)
     }
 
     fn forward_with(&self, target: TargetNumber, cookie: Cookie) -> Result<Forward, DropReason> {
@@ -326,6 +340,7 @@
             target: choice.target,
             load: choice.load,
             candidates: choice.candidates,
+            withheld: choice.withheld,
             examined: choice.examined,
             attempt,
         });
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -15,7 +15,7 @@
 use crate::lookup::Admission;
 use crate::view::{Evidence, TargetEntry};
 use crate::{
-    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, Liveness, Segment,
+    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Liveness, Segment,
     SegmentKind, TargetNumber, TargetState,
 };
 
@@ -292,17 +292,20 @@
         let usable = entries
             .filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready)
             .filter(takes_openings);
-        let corrections = usable.map(|entry| DueAction {
-            flow: *key,
-            action: Action::Forward(Forward {
-                address: entry.target.address,
-                target: entry.target.number,
-                cookie: target.cookie(),
-            }),
-            packet: half_open.packet.clone(),
-        });
+        let usable: Vec<_> = usable.map(|e| e.target.number).collect();
+        let packet = half_open.packet.clone();
         let before = self.corrections.len();
-        self.corrections.extend(corrections);
+        for number in usable {
+            // A cold target whose rate does not permit the opening now is corrected later, when the
+            // client repeats its cookie.
+            if let Ok(forward) = self.send_opening(number, target.cookie(), now) {
+                self.corrections.push(DueAction {
+                    flow: *key,
+                    action: Action::Forward(forward),
+                    packet: packet.clone(),
+                });
+            }
+        }
         let others = self.corrections.len() - before;
         if others > 0 {
             self.record_event(Event::HalfOpenCorrected {
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -29,7 +29,8 @@
             return self.reject_unrouted(key, now);
         };
         let Some(choice) = self.choose(&service, &[], now) else {
-            return Ok(self.reset(key, None, ResetReason::NoTarget, 0));
+            let reason = self.no_target_reason(&service, now);
+            return Ok(self.reset(key, None, reason, 0));
         };
         if self.sheds(&key, choice.target, None, now) {
             return Ok(self.reset(key, None, ResetReason::Overloaded, 0));
@@ -45,7 +46,7 @@
             self.start_counting(&key, now);
         }
         self.record_placement(key, service, choice, 0);
-        self.open_at(choice.target).map(Action::Forward)
+        self.open_at(choice.target, now).map(Action::Forward)
     }
 
     /// Handles the retransmission of an opening packet, if its flow is in the table.
@@ -66,15 +67,15 @@
             return self.leave_evacuated(&key, is_open, now);
         }
         if is_open {
-            return Some(self.forward_to(target));
+            return Some(self.send_opening(target, target.cookie(), now));
         }
         self.openings.record_retransmission(&key);
         if self.openings.get(&key).is_some_and(|o| now < o.due) {
-            return Some(self.open_at(target));
+            return Some(self.open_at(target, now));
         }
         self.liveness.record_retransmission(target, key, now);
         let replaced = self.replace(&key, now);
-        Some(replaced.map_or_else(|| self.open_at(target), Ok))
+        Some(replaced.map_or_else(|| self.open_at(target, now), Ok))
     }
 
     /// Handles the copy of an opening that was sent to a target of a zone that is now evacuated. A
@@ -115,7 +116,7 @@
         self.openings.retry(*key, choice.target, now);
         let attempt = u8::try_from(tried.len()).unwrap_or(u8::MAX);
         self.record_placement(*key, service, choice, attempt);
-        self.open_at(choice.target).ok()
+        self.open_at(choice.target, now).ok()
     }
 
     /// Records that a flow's target did not answer the opening in time.
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -22,6 +22,10 @@
     pub lost: usize,
     /// Targets that fail requests.
     pub failing: usize,
+    /// Cold targets of the local zone whose services publish a rate.
+    pub cold: usize,
+    /// Those of them to which this instance may open flows.
+    pub granted: usize,
     /// Evacuated zones.
     pub evacuated: usize,
 }
@@ -73,6 +77,8 @@
             suspect,
             lost,
             failing: self.health.failing_count(),
+            cold: self.cold.len(),
+            granted: self.warmup.granted(now),
             evacuated: self.view.evacuations().count(),
         }
     }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod answer_times;
 mod beacon;
 mod deadline;
+mod explanation;
 mod flow_message;
 mod flows;
 mod forwarder;
@@ -32,10 +33,12 @@
 mod target;
 mod typical_time;
 mod view;
+mod warmup_rate;
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
 pub use admission::LimitChange;
 pub use beacon::{Beacon, LoadPart, LoadReport, MemberReport, ZonePosition};
+pub use explanation::{Candidate, Exclusion, Explanation};
 pub use flow_message::{FlowDatagram, FlowMessage};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
@@ -45,6 +48,10 @@
 pub use membership::{
     BEACON_INTERVAL, LoadSums, Member, Membership, OwnInstance, RingPoint, Role, ZonePositions,
 };
+pub use placement::cold::{
+    ColdTarget, WarmupBounds, WarmupGrant, WarmupLimiter, WarmupMessage, WarmupRequest,
+    ZoneStanding,
+};
 pub use revision::{Epoch, StoreRevision, ViewVersion};
 pub use route::{Kind, Route, RouteTable, ServiceShare};
 pub use segment::{Endpoint, FlowKey, Segment, SegmentKind};
@@ -52,3 +59,4 @@
 pub use view::{
     Change, Delta, Evacuation, EvacuationChange, Evidence, TargetEntry, UpdateEffect, View,
 };
+pub use warmup_rate::{ServiceRate, WarmupRate, WarmupRates};
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -5,6 +5,8 @@
 
 mod candidates;
 mod choose;
+pub mod cold;
+mod explain;
 mod sample;
 mod speed;
 mod subset;
@@ -20,9 +22,10 @@
 use crate::load::Loads;
 use crate::membership::RingPoint;
 use crate::view::{TargetEntry, View};
-use crate::{Liveness, TargetNumber};
+use crate::{Liveness, TargetNumber, WarmupLimiter};
 use candidates::{Candidates, accepts_flows, is_cold};
 use choose::SubsetChoice;
+use cold::is_limited;
 use speed::{Observation, Speeds};
 use subset::Subset;
 use turns::Turns;
@@ -43,10 +46,37 @@
     pub load: f64,
     /// Number of ready targets of the service.
     pub candidates: usize,
+    /// Number of further ones that are cold and whose rate permits no opening now.
+    pub withheld: usize,
     /// Number of targets that were examined.
     pub examined: usize,
 }
 
+/// A choice and what it changes.
+#[derive(Debug, Clone, Copy)]
+struct Decision {
+    choice: Choice,
+    /// By how much the flow moves the target's next turn, if the target was chosen by turns.
+    cost: Option<f64>,
+}
+
+/// The targets that a decision examines.
+#[derive(Debug, Default)]
+struct Examined {
+    /// Their number.
+    count: usize,
+    /// Those whose loads were compared, if a caller wants to know them.
+    compared: Option<Vec<TargetNumber>>,
+}
+
+impl Examined {
+    fn record_comparison(&mut self, target: TargetNumber) {
+        if let Some(compared) = &mut self.compared {
+            compared.push(target);
+        }
+    }
+}
+
 /// What a forwarder knows of the targets.
 pub struct Observations<'a> {
     /// The local availability zone.
@@ -55,6 +85,7 @@
     pub liveness: &'a LivenessTracker,
     pub health: &'a Health,
     pub loads: &'a Loads,
+    pub warmup: &'a WarmupLimiter,
     pub now: Millis,
 }
 
@@ -68,6 +99,24 @@
         self.health.is_refusing(target, self.now)
     }
 
+    /// Returns the cold targets of a service with a rate to which a flow may be opened now.
+    fn granted(&self, service: &PublishedService) -> Vec<TargetNumber> {
+        let is_usable = |entry: &TargetEntry| {
+            let evacuated = self.view.evacuation(&entry.target.zone).is_some();
+            entry.target.service == *service
+                && accepts_flows(entry)
+                && !evacuated
+                && is_limited(entry, self.view, self.now)
+        };
+        let allowed = self.warmup.allowed(self.now);
+        let mut granted: Vec<_> = allowed
+            .filter(|n| self.view.get(*n).is_some_and(is_usable))
+            .collect();
+        // The order decides which ones a sample contains.
+        granted.sort_unstable();
+        granted
+    }
+
     /// Returns what all instances have seen of a target, unless it is cold or failing.
     fn observe(&self, target: TargetNumber) -> Option<Observation> {
         let entry = self.view.get(target).filter(|e| accepts_flows(e))?;
@@ -115,37 +164,57 @@
         tried: &[TargetNumber],
         rng: &mut StdRng,
     ) -> Option<Choice> {
-        self.candidates.refresh(seen.view);
-        let targets = self.candidates.get(service)?;
+        self.candidates.refresh(seen.view, seen.now);
+        let mut examined = Examined::default();
+        let decision = self.decide(&self.candidates, seen, service, tried, rng, &mut examined)?;
+        let choice = decision.choice;
+        if let Some(cost) = decision.cost {
+            self.turns.take(service, choice.target, cost);
+        }
+        Some(choice)
+    }
+
+    /// Decides without changing anything. `candidates` must be up to date.
+    fn decide(
+        &self,
+        candidates: &Candidates,
+        seen: &Observations<'_>,
+        service: &PublishedService,
+        tried: &[TargetNumber],
+        rng: &mut StdRng,
+        examined: &mut Examined,
+    ) -> Option<Decision> {
+        let targets = candidates.get(service)?;
+        let granted = if targets.limited == 0 {
+            Vec::new()
+        } else {
+            seen.granted(service)
+        };
         let zone_size = targets.zone(seen.zone).len();
-        let mut examined = 0;
         if let Some(subset) = Subset::new(service, zone_size, self.ring) {
             let mut choice = SubsetChoice {
                 seen,
                 speeds: &self.speeds,
-                turns: &mut self.turns,
+                turns: &self.turns,
                 service,
                 targets,
+                granted: &granted,
                 tried,
                 rng,
-                examined: 0,
+                examined,
             };
             let chosen = choice.choose(subset);
             if chosen.is_some() {
                 return chosen;
             }
-            examined = choice.examined;
         }
-        let choice = sample::choose(seen, targets, tried, rng)?;
-        Some(Choice {
-            examined: choice.examined + examined,
-            ..choice
-        })
+        let choice = sample::choose(seen, targets, &granted, tried, rng, examined)?;
+        Some(Decision { choice, cost: None })
     }
 
     /// Updates the speeds of all targets. `opening_time` is the usual duration of openings.
     pub fn update_speeds(&mut self, seen: &Observations<'_>, opening_time: Duration) {
-        self.candidates.refresh(seen.view);
+        self.candidates.refresh(seen.view, seen.now);
         let observe = |n| seen.observe(n);
         self.speeds
             .update(&self.candidates, opening_time, observe, seen.now);
--- a/crates/forward/src/placement/candidates.rs
+++ b/crates/forward/src/placement/candidates.rs
@@ -1,9 +1,11 @@
 //! The targets of each service by availability zone, and which of them may get a flow. Built when
-//! the view changes, so that a choice costs the same with 150 and with 3,400 targets.
+//! the view changes or a cold target with a rate has warmed up, so that a choice costs the same with
+//! 150 and with 3,400 targets.
 
-use tanager_core::{FastMap, PublishedService, PublishedZone};
+use tanager_core::{FastMap, Millis, PublishedService, PublishedZone};
 
 use super::Observations;
+use super::cold::is_limited;
 use crate::health::FAILING_RATE;
 use crate::view::{TargetEntry, View};
 use crate::{Liveness, TargetNumber, TargetState};
@@ -29,10 +31,12 @@
 /// The targets of a service that accept flows and whose zones are not evacuated.
 #[derive(Debug, Default)]
 pub struct ServiceTargets {
-    /// Those of all zones, sorted by number.
+    /// Those of all zones that need no grant, sorted by number.
     pub all: Vec<TargetNumber>,
-    /// Those of each zone, sorted by number.
+    /// Those of each zone that need no grant, sorted by number.
     zones: FastMap<PublishedZone, Vec<TargetNumber>>,
+    /// Number of further ones that are cold and have a rate, so that a flow needs a grant.
+    pub limited: usize,
 }
 
 impl ServiceTargets {
@@ -48,15 +52,19 @@
     services: FastMap<PublishedService, ServiceTargets>,
     /// Generation of the view from which they were built.
     generation: Option<u64>,
+    /// When the first of the limited targets has warmed up.
+    next_warm: Option<Millis>,
 }
 
 impl Candidates {
-    /// Rebuilds the index if the view has changed.
-    pub fn refresh(&mut self, view: &View) {
-        if self.generation == Some(view.generation()) {
+    /// Rebuilds the index if the view has changed or a limited target has warmed up.
+    pub fn refresh(&mut self, view: &View, now: Millis) {
+        let current = self.generation == Some(view.generation());
+        if current && self.next_warm.is_none_or(|at| now < at) {
             return;
         }
         self.generation = Some(view.generation());
+        self.next_warm = None;
         self.services.clear();
         let evacuated = |e: &&TargetEntry| view.evacuation(&e.target.zone).is_some();
         let open = view
@@ -68,7 +76,14 @@
                 let empty = ServiceTargets::default();
                 self.services.insert(target.service.clone(), empty);
             }
-            if let Some(service) = self.services.get_mut(&target.service) {
+            let Some(service) = self.services.get_mut(&target.service) else {
+                continue;
+            };
+            if is_limited(entry, view, now) {
+                let warm = now + entry.warmup(now);
+                self.next_warm = Some(self.next_warm.map_or(warm, |at| at.min(warm)));
+                service.limited += 1;
+            } else {
                 service.add(&target.zone, target.number);
             }
         }
--- a/crates/forward/src/placement/choose.rs
+++ b/crates/forward/src/placement/choose.rs
@@ -10,7 +10,7 @@
 use super::speed::Speeds;
 use super::subset::Subset;
 use super::turns::Turns;
-use super::{Choice, FLOW_DEMAND, Observations, WARMUP_FACTOR, WARMUP_PENALTY};
+use super::{Choice, Decision, Examined, FLOW_DEMAND, Observations, WARMUP_FACTOR, WARMUP_PENALTY};
 use crate::TargetNumber;
 use crate::view::TargetEntry;
 
@@ -79,32 +79,39 @@
 pub(super) struct SubsetChoice<'a> {
     pub seen: &'a Observations<'a>,
     pub speeds: &'a Speeds,
-    pub turns: &'a mut Turns,
+    pub turns: &'a Turns,
     pub service: &'a PublishedService,
     pub targets: &'a ServiceTargets,
+    /// Cold targets to which this instance may open a flow now.
+    pub granted: &'a [TargetNumber],
     pub tried: &'a [TargetNumber],
     pub rng: &'a mut StdRng,
-    pub examined: usize,
+    pub examined: &'a mut Examined,
 }
 
 impl SubsetChoice<'_> {
     /// Chooses a target of the subset, or another one if all of them are unusable, full or cold, or
     /// have long waits. Returns `None` if no usable target was found.
-    pub fn choose(&mut self, subset: Subset) -> Option<Choice> {
+    pub fn choose(&mut self, subset: Subset) -> Option<Decision> {
         let mut best = self.best_of_subset(subset);
         if best.is_none_or(|b| self.is_insufficient(&b)) {
+            best = self.compare_granted(best);
             best = self.compare_zone(best);
         }
         if best.is_none_or(|b| b.whole_wait > ZONE_PREFERENCE || b.is_full()) {
             best = self.compare_other_zones(best);
         }
         let best = best?;
-        self.turns.take(self.service, best.target, best.cost);
-        Some(Choice {
+        let choice = Choice {
             target: best.target,
             load: best.load / self.speeds.get(best.target),
-            candidates: self.targets.all.len(),
-            examined: self.examined,
+            candidates: self.targets.all.len() + self.granted.len(),
+            withheld: self.targets.limited - self.granted.len(),
+            examined: self.examined.count,
+        };
+        Some(Decision {
+            choice,
+            cost: Some(best.cost),
         })
     }
 
@@ -125,6 +132,16 @@
         least(estimates.collect())
     }
 
+    /// Compares some cold targets that need a grant and have one with the best one so far.
+    fn compare_granted(&mut self, best: Option<Estimate>) -> Option<Estimate> {
+        if self.granted.is_empty() {
+            return best;
+        }
+        let work = self.speeds.work(self.service);
+        let found = self.sample(self.granted, Origin::Zone);
+        better(best, found, SUBSET_PREFERENCE * work)
+    }
+
     /// Compares some targets of the zone with the best one so far.
     fn compare_zone(&mut self, best: Option<Estimate>) -> Option<Estimate> {
         let work = self.speeds.work(self.service);
@@ -167,12 +184,16 @@
 
     /// Estimates the load of a target, or returns `None` if it is not usable.
     fn estimate(&mut self, number: TargetNumber, origin: Origin) -> Option<Estimate> {
-        self.examined += 1;
+        self.examined.count += 1;
         let seen = self.seen;
         let entry = seen.view.get(number)?;
         let usable =
             !self.tried.contains(&number) && !seen.is_refusing(number) && is_healthy(entry, seen);
-        usable.then(|| self.estimate_usable(entry, origin))
+        if !usable {
+            return None;
+        }
+        self.examined.record_comparison(number);
+        Some(self.estimate_usable(entry, origin))
     }
 
     fn estimate_usable(&self, entry: &TargetEntry, origin: Origin) -> Estimate {
--- a/crates/forward/src/placement/sample.rs
+++ b/crates/forward/src/placement/sample.rs
@@ -5,7 +5,7 @@
 use rand::seq::index;
 
 use super::candidates::{ServiceTargets, accepts_flows, is_cold};
-use super::{Choice, FLOW_DEMAND, Observations, WARMUP_FACTOR, WARMUP_PENALTY};
+use super::{Choice, Examined, FLOW_DEMAND, Observations, WARMUP_FACTOR, WARMUP_PENALTY};
 use crate::health::FAILING_RATE;
 use crate::view::TargetEntry;
 use crate::{Liveness, TargetNumber};
@@ -28,18 +28,24 @@
 /// Number of targets drawn to find those.
 const MAX_DRAWS: usize = 16;
 
-/// Chooses a target, preferably one that is not in `tried`.
+/// Chooses a target, preferably one that is not in `tried`. `granted` are the cold targets to which
+/// this instance may open a flow now.
 pub(super) fn choose(
     seen: &Observations<'_>,
     targets: &ServiceTargets,
+    granted: &[TargetNumber],
     tried: &[TargetNumber],
     rng: &mut StdRng,
+    examined: &mut Examined,
 ) -> Option<Choice> {
     let untried = |e: &&TargetEntry| !tried.contains(&e.target.number);
-    let near = |e: &&TargetEntry| untried(e) && seen.liveness_of(e) == Liveness::Sound;
-    let drawn_near = draw(seen, targets.zone(seen.zone), rng);
-    let drawn = draw(seen, &targets.all, rng);
-    let examined = drawn_near.len() + drawn.len();
+    let near = |e: &&TargetEntry| {
+        let own_zone = e.target.zone == *seen.zone;
+        own_zone && untried(e) && seen.liveness_of(e) == Liveness::Sound
+    };
+    let drawn_near = draw(seen, targets.zone(seen.zone), granted, rng);
+    let drawn = draw(seen, &targets.all, granted, rng);
+    examined.count += drawn_near.len() + drawn.len();
     let mut sample: Vec<_> = drawn_near
         .into_iter()
         .filter(near)
@@ -49,14 +55,18 @@
     // All targets were tried already; one of them may only be slow.
     let last = drawn.last().copied().filter(|_| sample.is_empty());
     sample.extend(last);
+    for entry in &sample {
+        examined.record_comparison(entry.target.number);
+    }
     let mean_flows = mean_flows(seen, &drawn);
     let loads = sample.iter().map(|e| (load(seen, e, mean_flows), *e));
     let (load, entry) = loads.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
     Some(Choice {
         target: entry.target.number,
         load,
-        candidates: targets.all.len(),
-        examined,
+        candidates: targets.all.len() + granted.len(),
+        withheld: targets.limited - granted.len(),
+        examined: examined.count,
     })
 }
 
@@ -67,15 +77,18 @@
 fn draw<'v>(
     seen: &Observations<'v>,
     targets: &[TargetNumber],
+    granted: &[TargetNumber],
     rng: &mut StdRng,
 ) -> Vec<&'v TargetEntry> {
-    let drawn = index::sample(rng, targets.len(), targets.len().min(MAX_DRAWS));
-    let entries = drawn.into_iter().filter_map(|i| seen.view.get(targets[i]));
+    let count = targets.len() + granted.len();
+    let drawn = index::sample(rng, count, count.min(MAX_DRAWS));
+    let number = |i: usize| targets.get(i).or_else(|| granted.get(i - targets.len()));
+    let entries = drawn.into_iter().filter_map(|i| seen.view.get(*number(i)?));
     entries.filter(|e| accepts_flows(e)).collect()
 }
 
 /// Returns the mean number of flows of targets that were drawn.
-fn mean_flows(seen: &Observations<'_>, drawn: &[&TargetEntry]) -> f64 {
+pub(super) fn mean_flows(seen: &Observations<'_>, drawn: &[&TargetEntry]) -> f64 {
     if !drawn.iter().any(|e| is_cold(e, seen)) {
         return 0.0;
     }
@@ -87,7 +100,7 @@
 }
 
 /// Returns a target's load divided by its slots, with all penalties.
-fn load(seen: &Observations<'_>, entry: &TargetEntry, mean_flows: f64) -> f64 {
+pub(super) fn load(seen: &Observations<'_>, entry: &TargetEntry, mean_flows: f64) -> f64 {
     let target = &entry.target;
     let load = seen.loads.get(target.number, seen.now);
     let cold = is_cold(entry, seen);
