Take no target for failing while its service is limited

Beyond the capacity, a full target refuses requests only after they have waited in its queue, so the time of a short answer does not tell a refusal from a failure. Full targets counted as failing, got nothing more, and the others were overfilled. While a service is limited, short answers count as refusals, and refusing targets are not avoided.

The new test fails without the change.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -228,6 +228,12 @@
         }
     }
 
+    /// Returns whether the requests in flight to a service are limited.
+    pub fn is_limited(&self, service: &PublishedService) -> bool {
+        let id = self.find(service);
+        id.is_some_and(|id| self.loads[id.0].limit.is_some())
+    }
+
     /// Returns whether a request of a class exceeds the limit of its service.
     pub fn is_exceeded(&self, service: &PublishedService, class: Class) -> bool {
         let Some(id) = self.find(service) else {
--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -2,7 +2,7 @@
 
 use tanager_core::Millis;
 
-use super::Forwarder;
+use super::{Forwarder, route_of};
 use crate::flows::{Flow, PendingAnswer};
 use crate::health::{Answer, Outcome};
 use crate::{FlowKey, TargetNumber};
@@ -55,7 +55,7 @@
         };
         let outcome = self.health.record_answer(target, answer, now);
         if outcome == Outcome::Refused {
-            self.record_refusal(target, now);
+            self.record_refusal(key, target, now);
         }
         if outcome != Outcome::Answered && length > 0 {
             self.record_failed_answer(key);
@@ -71,6 +71,9 @@
         pending: &PendingAnswer,
         now: Millis,
     ) -> bool {
+        if self.is_limited(key) {
+            return true;
+        }
         let time = pending.answered.map(|at| at.since(pending.started));
         let usual = self.load_times.usual(key.service);
         let soon = time
@@ -86,8 +89,19 @@
             || (rare && usage.busy >= MIN_REFUSAL_USE)
     }
 
-    /// Avoids a target that has refused a request for the time that its queue takes to empty.
-    fn record_refusal(&mut self, target: TargetNumber, now: Millis) {
+    /// Returns whether the service of a flow is limited. Its targets then refuse requests because they
+    /// are full, often only after these have waited, so that the time does not tell a refusal.
+    fn is_limited(&self, key: &FlowKey) -> bool {
+        let route = route_of(&self.view, key);
+        route.is_some_and(|(_, service)| self.admission.is_limited(service))
+    }
+
+    /// Avoids a target that has refused a request for the time that its queue takes to empty. Beyond
+    /// the capacity of a service it is not avoided: with all others full, it would idle.
+    fn record_refusal(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
+        if self.is_limited(key) {
+            return;
+        }
         let time = self.placement.queue_time(&self.observations(now), target);
         self.health.record_refusal(target, now + time);
     }
--- a/crates/forward/tests/overload.rs
+++ b/crates/forward/tests/overload.rs
@@ -21,6 +21,8 @@
 const REQUEST: u16 = 100;
 /// Length of an answer in bytes.
 const ANSWER: u32 = 2_000;
+/// Length of the answer by which a target refuses a request, in bytes.
+const REFUSAL: u32 = 150;
 
 /// A forwarder, the flows of its clients and the present time.
 struct Scene {
@@ -28,6 +30,8 @@
     clients: Vec<Client>,
     /// Whether each client's request is in flight.
     running: Vec<bool>,
+    /// Length of the next answers.
+    answer: u32,
     now: u64,
 }
 
@@ -42,6 +46,7 @@
             running: vec![false; clients.len()],
             forwarder,
             clients,
+            answer: ANSWER,
             now: 1_000,
         }
     }
@@ -67,7 +72,7 @@
         let now = at(self.now);
         let client = &mut self.clients[index];
         if self.running[index] {
-            client.acknowledge(&mut self.forwarder, ANSWER, now);
+            client.acknowledge(&mut self.forwarder, self.answer, now);
         }
         let action = client.send(&mut self.forwarder, REQUEST, now);
         let forwarded = matches!(action, Action::Forward(_));
@@ -240,3 +245,18 @@
     let running = running.expect("a limit");
     assert!(running <= u32::from(FLOWS), "{running} in flight");
 }
+
+/// Guards against full targets that count as failing because they refuse requests only after these have
+/// waited: nothing more is sent to them, and the others get more than they can take.
+#[test]
+fn a_target_that_refuses_late_beyond_the_capacity_is_not_failing() {
+    let mut scene = overload();
+    scene.answer = REFUSAL;
+
+    scene.run(3, SLOW_ANSWER);
+    scene.forwarder.sweep(at(scene.now));
+
+    let events = scene.forwarder.take_events(at(scene.now));
+    let failing = |e: &Event| matches!(e, Event::Health(change) if change.failing);
+    assert!(!events.iter().any(failing), "{events:?}");
+}
