--- a/crates/admission/src/order.rs
+++ b/crates/admission/src/order.rs
@@ -73,6 +73,13 @@
         Some(node.key)
     }
 
+    /// Returns up to `count` of the lowest keys, in order.
+    pub fn first_keys(&self, count: usize) -> Vec<K> {
+        let mut keys = Vec::with_capacity(count);
+        collect(self.root.as_deref(), count, &mut keys);
+        keys
+    }
+
     /// Returns the highest key.
     pub fn last(&self) -> Option<K> {
         let mut node = self.root.as_ref()?;
@@ -138,6 +145,19 @@
     }
 }
 
+/// Appends the keys of a tree in order until there are `count`.
+fn collect<K: Copy>(node: Option<&Node<K>>, count: usize, keys: &mut Vec<K>) {
+    if let Some(node) = node
+        && keys.len() < count
+    {
+        collect(node.left.as_deref(), count, keys);
+        if keys.len() < count {
+            keys.push(node.key);
+        }
+        collect(node.right.as_deref(), count, keys);
+    }
+}
+
 fn remove<K: Ord>(link: &mut Link<K>, key: &K) {
     let Some(node) = link else {
         return;
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -62,10 +62,25 @@
     class: Class,
     /// Whether it exceeded its group's share of the class.
     excess: bool,
-    objective: Millis,
+    /// The objective; for late ones the time from it to the end of the clock's range.
+    due: Millis,
     ticket: Ticket,
 }
 
+impl Place {
+    /// Returns whether two requests differ in their time only.
+    fn is_peer(&self, other: &Self) -> bool {
+        (self.late, self.class, self.excess) == (other.late, other.class, other.excess)
+    }
+
+    /// Moves the request behind all that can still be in time. The last one that became late comes
+    /// first: of all late ones its answer is of most use.
+    const fn make_late(&mut self) {
+        self.late = true;
+        self.due = Millis::new(u64::MAX - self.due.get());
+    }
+}
+
 #[derive(Debug)]
 struct Entry<T> {
     demand: Demand,
@@ -77,8 +92,8 @@
 ///
 /// Requests that can still be answered by their objective come first; among them the more urgent
 /// priority, then those that must not run twice, then those within the share of their group, then the
-/// earliest objective, then the earlier arrival. Late ones follow in the same order. All operations
-/// take O(log n).
+/// earliest objective, then the earlier arrival. Late ones follow in the same order of classes, the
+/// latest objective first. All operations take O(log n).
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     /// Maximum number of requests.
@@ -177,11 +192,26 @@
         Some((&entry.demand, &entry.value))
     }
 
+    /// Returns the requests that come next, up to `count` of them, as far as their precedence is that
+    /// of the first one. A caller may serve any of them next.
+    pub fn peers_of_first(&mut self, count: usize, now: Millis) -> Vec<(Ticket, &T)> {
+        self.advance(now);
+        let places = self.order.first_keys(count);
+        let peers = places.iter().take_while(|p| p.is_peer(&places[0]));
+        let entries = peers.filter_map(|p| Some((p.ticket, &self.entries.get(&p.ticket)?.value)));
+        entries.collect()
+    }
+
     /// Removes and returns the request to be served next.
     pub fn pop(&mut self, now: Millis) -> Option<(Demand, T)> {
         self.advance(now);
         let first = self.order.first()?;
-        let entry = self.take(first.ticket)?;
+        self.serve(first.ticket, now)
+    }
+
+    /// Removes and returns a request that is served.
+    pub fn serve(&mut self, ticket: Ticket, now: Millis) -> Option<(Demand, T)> {
+        let entry = self.take(ticket)?;
         self.loads.serve(&entry.demand, now);
         Some((entry.demand, entry.value))
     }
@@ -221,13 +251,17 @@
     }
 
     fn place(&self, demand: &Demand, excess: bool, now: Millis) -> Place {
-        Place {
-            late: now > demand.latest_start(),
+        let mut place = Place {
+            late: false,
             class: demand.class(),
             excess,
-            objective: demand.objective,
+            due: demand.objective,
             ticket: Ticket(self.next),
+        };
+        if now > demand.latest_start() {
+            place.make_late();
         }
+        place
     }
 
     fn wait_at(&self, place: &Place, work: f64, now: Millis) -> Duration {
@@ -276,7 +310,7 @@
         while let Some(ticket) = take_first(&mut self.turns, |at| at < now) {
             if let Some(entry) = self.entries.get_mut(&ticket) {
                 self.order.remove(&entry.place);
-                entry.place.late = true;
+                entry.place.make_late();
                 self.order.insert(entry.place, entry.demand.weight());
             }
         }
--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -5,7 +5,10 @@
 
 use tanager_core::PublishedService;
 
-use crate::{Cookie, FlowKey, HealthChange, LimitChange, LivenessChange, TargetNumber};
+use crate::{
+    AdmissionStep, Cookie, FlowKey, HealthChange, LimitChange, LivenessChange, QueueState,
+    TargetNumber,
+};
 
 /// Where a packet is to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +36,9 @@
     /// Do nothing: the packet is held until a peer has told its flow's target, or a short time has
     /// passed.
     LookUp,
+    /// Do nothing: the packet is held until its service has capacity for it, or it is a copy of a held
+    /// packet.
+    Hold,
     /// Drop the packet.
     Drop(DropReason),
 }
@@ -128,6 +134,8 @@
         target: Option<TargetNumber>,
         /// The cause.
         reason: ResetReason,
+        /// What was ahead of it, if its service is beyond its capacity.
+        state: Option<QueueState>,
     },
     /// A packet was dropped.
     Dropped {
@@ -137,7 +145,18 @@
         cookie: Cookie,
         /// The cause.
         reason: DropReason,
+        /// What was ahead of it, if its service is beyond its capacity.
+        state: Option<QueueState>,
     },
+    /// An opening or a request on an open flow is held until its service has capacity for it.
+    Held {
+        /// The flow.
+        flow: FlowKey,
+        /// What is ahead of it, and itself.
+        state: QueueState,
+    },
+    /// A step in the admission of a request.
+    Admission(AdmissionStep),
     /// A flow whose opening this instance did not receive was bound to a target.
     LookedUp {
         /// The flow.
--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -1,273 +1,488 @@
-//! Limits the requests in flight to services that are overloaded.
+//! Shares the capacity of services that are beyond it.
 //!
-//! Targets queue more requests than they can answer within the objective of their route. Beyond
-//! capacity all queues are full, and all answers are late. Each instance therefore adapts a limit on
-//! its own requests in flight to each service by the share of late answers, and sheds what exceeds
-//! it. Instances do not coordinate: all observe the same queues.
+//! The load that this module addresses is more requests than the targets of a service can answer
+//! within the objectives of their routes. Targets queue more than they can answer in time, so each
+//! instance limits its own requests in flight to its fair share of the capacity and holds what
+//! exceeds it, in the order of the cost of delay. What cannot be in time is refused at once.
 
+mod demand;
+mod held;
+mod limit;
+mod shares;
+mod work;
+
+use std::fmt;
 use std::time::Duration;
 
-use tanager_core::{FastMap, Millis, PublishedService};
-
-use crate::{Kind, Route};
-
-/// Time between two changes of a limit.
-const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which a limit changes even if fewer than [`MIN_ANSWERS`] were observed.
-const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
-/// Answers to observe before a limit changes.
-const MIN_ANSWERS: u32 = 12;
-/// Share of its route's objective from which an answer counts as late. The rest is for the
-/// opening of the flow and for the paths between client, instance and target.
-const LATE_RATIO: f64 = 0.9;
-/// The same while the service is limited. Lower, so that answers are in time despite the variance of
-/// queues.
-const LIMITED_LATE_RATIO: f64 = 0.7;
-/// Share of late answers above which a service counts as overloaded. Lower shares occur by chance
-/// when most slots are busy.
-const OVERLOAD_SHARE: f64 = 0.5;
-/// Share of late answers above which a limit falls. Just below capacity, a tenth of all answers is
-/// late by chance.
-const LATE_SHARE: f64 = 0.2;
-/// First limit, relative to the requests in flight when the overload is detected.
-const INITIAL_RATIO: f64 = 0.6;
-/// Decrease of the limit for each unit of the share of late answers above [`LATE_SHARE`].
-const DECREASE: f64 = 0.3;
-/// Factor by which the limit grows in each interval while few answers are late. A limit that is too
-/// low has to recover before the third retransmission of a shed request, after 1.4 s, which is the
-/// last one before most deadlines.
-const GROWTH: f64 = 1.12;
-/// Lowest limit, in requests in flight per slot of this instance's share. Below it, slots would be
-/// free while requests and answers are on the way.
-const MIN_SLOT_LOAD: f64 = 1.5;
-/// Time after the last shed request at which the limit ends.
-const LIMIT_LIFETIME: Duration = Duration::from_secs(1);
-
-/// Time since a request was first shed after which it no longer counts as late. Clients transmit
-/// once more after that, which may be the last time before the deadline.
-const LONG_WAIT: Duration = Duration::from_secs(1);
-
-/// How readily a request is shed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Class {
-    /// A request of the highest priority, or one that its client does not repeat.
-    Urgent,
-    /// Any other request.
-    Normal,
-    /// A request that was shed a short time ago and can no longer be answered within its
-    /// objective. One that has waited for longer counts as normal, so that newer ones do not
-    /// displace it until its deadline.
-    Late,
-}
+use tanager_admission::{Demand, LatePolicy, Pushed, RateMeter, Refusal, Ticket, WaitQueue};
+use tanager_core::{FastMap, Millis, PublishedService, PublishedZone};
 
-impl Class {
-    /// Returns the class of a request on a route. `waited` is the time since it was first shed, if
-    /// it was.
-    pub fn of(route: &Route, waited: Option<Duration>) -> Self {
-        match (route.kind, route.priority) {
-            _ if waited.is_some_and(|w| w < LONG_WAIT) => Self::Late,
-            (Kind::NonIdempotent, _) | (_, 0) => Self::Urgent,
-            _ => Self::Normal,
-        }
-    }
+use crate::{BEACON_INTERVAL, FlowKey, Segment};
+pub use demand::{Attempt, OPENING_LIFETIME};
+pub use held::{HeldKind, HeldRequest, Joined};
+pub use limit::{Capacity, LimitChange};
+use limit::{Limiter, REFRESH_INTERVAL};
+use shares::ZoneShares;
+pub use shares::{OfferedLoad, PeerDemands, ZoneDemand};
+pub use work::WorkTimes;
 
-    /// Returns the part of a limit up to which requests of this class are admitted.
-    const fn part(self) -> f64 {
-        match self {
-            Self::Urgent => 1.5,
-            Self::Normal => 1.0,
-            Self::Late => 0.6,
-        }
-    }
-}
+/// Maximum number of held requests of an instance.
+const HELD_LIMIT: usize = 1_024;
+/// Maximum size of all held packets of an instance, in bytes.
+const HELD_BYTES: usize = 1_500_000;
+/// Time over which offered and admitted rates are averaged.
+const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Interval at which the next held request is compared with the free slots of targets, if no request
+/// in flight ends.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval at which all targets of a service are examined: as often as others report their loads.
+const EXAMINE_INTERVAL: Duration = BEACON_INTERVAL;
+/// Held requests of the same precedence among which the one with the least loaded target is released.
+/// Requests on open flows are bound to their targets, so in strict order some targets would get several
+/// while others idle.
+const RELEASE_CHOICES: usize = 8;
+/// Maximum number of services whose demands are reported to peers.
+const REPORT_LIMIT: usize = 16;
 
 /// Where the requests in flight to a service are counted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct LoadId(usize);
 
-/// A service whose targets have queues.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Overload {
-    /// This instance's share of the slots of the service, by its part of the load.
-    pub slots: f64,
+/// What is ahead of a request, for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct QueueState {
+    /// Held requests of the service.
+    pub waiting: usize,
+    /// Maximum number of requests in flight of this instance; `None` if there is none.
+    pub limit: Option<f64>,
+    /// Requests in flight of this instance.
+    pub running: u32,
 }
 
-impl Overload {
-    fn bound(self, limit: f64) -> f64 {
-        limit.max(self.slots * MIN_SLOT_LOAD)
+/// How the admission of a request ended, or that it began to wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// It was forwarded at once although its service is limited.
+    Admitted,
+    /// It began to wait.
+    Held,
+    /// It was forwarded after a wait.
+    Released,
+    /// More urgent requests took its place in the full queue.
+    Displaced,
+    /// It was not expected to be answered in time.
+    Refused,
+    /// It was refused because the queue was full of more urgent requests.
+    QueueFull,
+    /// It waited until its time was over.
+    Expired,
+    /// Its client ended the flow, or its target was lost or removed.
+    Withdrawn,
+}
+
+impl Outcome {
+    /// Returns whether a wait ends with it.
+    #[must_use]
+    pub const fn ends_wait(self) -> bool {
+        match self {
+            Self::Released | Self::Displaced | Self::Expired | Self::Withdrawn => true,
+            Self::Admitted | Self::Held | Self::Refused | Self::QueueFull => false,
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Admitted => "admitted",
+            Self::Held => "held",
+            Self::Released => "released",
+            Self::Displaced => "displaced",
+            Self::Refused => "refused",
+            Self::QueueFull => "queue-full",
+            Self::Expired => "expired",
+            Self::Withdrawn => "withdrawn",
+        })
     }
 }
 
-/// Requests in flight of this instance to one service, their limit, and recent answers.
-#[derive(Debug, Clone, Default)]
+/// Requests of one service: in flight, held, and their limit.
+#[derive(Debug)]
 struct ServiceLoad {
+    name: PublishedService,
     running: u32,
-    /// Maximum of `running` for normal requests; `None` unless the service is overloaded.
-    limit: Option<f64>,
-    answers: u32,
-    late: u32,
-    updated: Millis,
-    /// When a request was last shed.
-    shed: Millis,
+    offered: RateMeter,
+    admitted: RateMeter,
+    limiter: Limiter,
+    queue: WaitQueue<HeldRequest>,
+    /// When the next held request was last compared with the free slots of targets.
+    rechecked: Millis,
+    /// The usable targets as of `examined`.
+    capacity: Capacity,
+    examined: Option<Millis>,
 }
 
 impl ServiceLoad {
-    fn is_due(&self, now: Millis) -> bool {
-        let age = now.since(self.updated);
-        age >= MAX_UPDATE_INTERVAL || (age >= UPDATE_INTERVAL && self.answers >= MIN_ANSWERS)
-    }
-
-    fn late_share(&self) -> f64 {
-        f64::from(self.late.min(self.answers)) / f64::from(self.answers.max(MIN_ANSWERS))
-    }
-
-    /// Returns whether too many answers are late.
-    fn is_late(&self) -> bool {
-        let share = if self.limit.is_some() {
-            LATE_SHARE
-        } else {
-            OVERLOAD_SHARE
-        };
-        self.late_share() > share
-    }
-
-    fn update(&mut self, overload: Option<Overload>, now: Millis) {
-        let excess = self.late_share() - LATE_SHARE;
-        let elapsed = now.since(self.updated);
-        let intervals = elapsed.div_duration_f64(UPDATE_INTERVAL);
-        let limit = match self.limit {
-            None => overload.map(|overload| {
-                self.shed = now;
-                overload.bound(f64::from(self.running) * INITIAL_RATIO)
-            }),
-            Some(limit) => match overload {
-                Some(overload) => Some(overload.bound(limit * (1.0 - DECREASE * excess))),
-                None if now.since(self.shed) >= LIMIT_LIFETIME => None,
-                None => Some(limit * GROWTH.powf(intervals)),
-            },
-        };
-        self.limit = limit;
-        self.answers = 0;
-        self.late = 0;
-        self.updated = now;
+    fn new(name: PublishedService) -> Self {
+        Self {
+            name,
+            running: 0,
+            offered: RateMeter::new(RATE_WINDOW),
+            admitted: RateMeter::new(RATE_WINDOW),
+            limiter: Limiter::default(),
+            queue: WaitQueue::new(HELD_LIMIT),
+            rechecked: Millis::default(),
+            capacity: Capacity::default(),
+            examined: None,
+        }
+    }
+
+    fn load(&self, now: Millis) -> OfferedLoad {
+        OfferedLoad {
+            offered: self.offered.per_second(now),
+            admitted: self.admitted.per_second(now),
+        }
+    }
+
+    fn has_room(&self) -> bool {
+        self.limiter.has_room(self.running)
     }
 }
 
-/// A limit that began or ended.
-#[derive(Debug, Clone, PartialEq)]
-pub struct LimitChange {
-    /// The service.
-    pub service: PublishedService,
-    /// The limit of requests in flight of this instance; `None` after the overload.
-    pub limit: Option<f64>,
-    /// Requests in flight of this instance.
-    pub running: u32,
-    /// Share of recent answers that were late or errors.
-    pub late_share: f64,
+/// The result of holding a request.
+#[derive(Debug)]
+pub enum Hold {
+    /// It is held, perhaps in place of another one.
+    Held(Option<HeldRequest>),
+    /// It is not held.
+    Refused(Refusal),
 }
 
-/// The requests in flight and limits of all services.
+/// The requests in flight, held requests and limits of all services.
 #[derive(Debug, Default)]
 pub struct Admission {
     services: FastMap<PublishedService, LoadId>,
     /// Invariant: one entry for each of `services`; entries are never removed, so that a [`LoadId`]
     /// stays valid.
     loads: Vec<ServiceLoad>,
+    /// The held request of each flow.
+    by_flow: FastMap<FlowKey, (LoadId, Ticket)>,
+    /// Size of all held packets. Invariant: at most [`HELD_BYTES`].
+    held_bytes: usize,
+    shares: ZoneShares,
+    work: WorkTimes,
+    refreshed: Millis,
 }
 
 impl Admission {
-    /// Counts a request or an opening that is sent to a service. Returns where it is counted, since
-    /// the service of its route may change before it ends.
-    pub fn start(&mut self, service: &PublishedService) -> LoadId {
-        let id = self.find(service).unwrap_or_else(|| {
-            let id = LoadId(self.loads.len());
-            self.loads.push(ServiceLoad::default());
-            self.services.insert(service.clone(), id);
-            id
-        });
-        self.loads[id.0].running += 1;
+    /// Returns where the requests of a service are counted.
+    pub fn id(&mut self, service: &PublishedService) -> LoadId {
+        if let Some(id) = self.services.get(service) {
+            return *id;
+        }
+        let id = LoadId(self.loads.len());
+        self.loads.push(ServiceLoad::new(service.clone()));
+        self.services.insert(service.clone(), id);
         id
     }
 
+    /// Returns the work that requests of routes take.
+    pub const fn work(&mut self) -> &mut WorkTimes {
+        &mut self.work
+    }
+
+    /// Replaces what other instances have reported on their demands.
+    pub fn set_peer_demands(&mut self, demands: PeerDemands, now: Millis) {
+        self.shares.set(demands, now);
+    }
+
+    /// Records that a request was offered, whether or not it is admitted.
+    pub fn record_offered(&mut self, id: LoadId, now: Millis) {
+        self.loads[id.0].offered.add(1.0, now);
+    }
+
+    /// Counts a request or an opening that is sent to a service.
+    pub fn start(&mut self, id: LoadId, now: Millis) {
+        let load = &mut self.loads[id.0];
+        load.limiter.consume_room(load.running);
+        load.running += 1;
+        load.admitted.add(1.0, now);
+    }
+
     /// Counts the end of a request.
     pub fn end(&mut self, id: LoadId) {
         let load = &mut self.loads[id.0];
         load.running = load.running.saturating_sub(1);
+        load.limiter.record_end();
+    }
+
+    /// Records that a full target refused a request.
+    pub fn record_refusal(&mut self, id: LoadId, now: Millis) {
+        self.loads[id.0].limiter.record_refusal(now);
+    }
+
+    /// Returns whether the requests in flight of a service are limited.
+    pub fn is_limited(&self, id: LoadId) -> bool {
+        self.loads[id.0].limiter.limit().is_some()
+    }
+
+    /// Returns whether a new request need not wait: none waits, and the limit is not reached.
+    pub fn has_room(&self, id: LoadId) -> bool {
+        let load = &self.loads[id.0];
+        load.queue.is_empty() && load.has_room()
     }
 
-    fn find(&self, service: &PublishedService) -> Option<LoadId> {
-        self.services.get(service).copied()
+    /// Returns whether requests of a service wait.
+    pub fn has_waiting(&self, id: LoadId) -> bool {
+        !self.loads[id.0].queue.is_empty()
     }
 
-    fn load_mut(&mut self, service: &PublishedService) -> Option<&mut ServiceLoad> {
-        let id = self.find(service)?;
-        self.loads.get_mut(id.0)
+    /// Records a request that is forwarded without a wait.
+    pub fn record_served(&mut self, id: LoadId, demand: &Demand, now: Millis) {
+        self.loads[id.0].queue.record_served(demand, now);
     }
 
-    /// Records the time that a service took to answer a request.
-    pub fn record_answer(&mut self, service: &PublishedService, route: &Route, time: Duration) {
-        if let Some(load) = self.load_mut(service)
-            && !route.objective.is_zero()
-        {
-            load.answers += 1;
-            let ratio = if load.limit.is_some() {
-                LIMITED_LATE_RATIO
-            } else {
-                LATE_RATIO
-            };
-            load.late += u32::from(time > route.objective.mul_f64(ratio));
+    /// Returns what is ahead of a request of a service.
+    pub fn state(&self, id: LoadId) -> QueueState {
+        let load = &self.loads[id.0];
+        QueueState {
+            waiting: load.queue.len(),
+            limit: load.limiter.limit(),
+            running: load.running,
         }
     }
 
-    /// Records that an answer was an error. Overloaded targets refuse requests that have waited.
-    pub fn record_failure(&mut self, service: &PublishedService) {
-        if let Some(load) = self.load_mut(service) {
-            load.late += 1;
+    /// Holds a request until there is room for it, or refuses it.
+    pub fn hold(
+        &mut self,
+        id: LoadId,
+        demand: Demand,
+        policy: LatePolicy,
+        request: HeldRequest,
+        now: Millis,
+    ) -> Hold {
+        let (flow, size) = (request.flow, request.size());
+        let fits = self.held_bytes + size <= HELD_BYTES;
+        let limit = self.queue_limit(id);
+        if !fits {
+            return Hold::Refused(Refusal::Full);
+        }
+        let queue = &mut self.loads[id.0].queue;
+        queue.set_limit(limit);
+        match queue.push(demand, policy, request, now) {
+            Pushed::Refused { reason, .. } => Hold::Refused(reason),
+            Pushed::Queued { ticket, displaced } => {
+                self.by_flow.insert(flow, (id, ticket));
+                self.held_bytes += size;
+                if let Some(displaced) = &displaced {
+                    self.forget(displaced);
+                }
+                Hold::Held(displaced)
+            }
         }
     }
 
-    /// Returns whether a request of a class exceeds the limit of its service.
-    pub fn is_exceeded(&self, service: &PublishedService, class: Class) -> bool {
-        let Some(id) = self.find(service) else {
-            return false;
-        };
-        let load = &self.loads[id.0];
-        let room = load.limit.map(|limit| limit * class.part());
-        room.is_some_and(|room| f64::from(load.running) >= room)
+    /// Returns the maximum number of held requests of a service. Limited services share the bound.
+    fn queue_limit(&self, id: LoadId) -> usize {
+        let limited = self.loads.iter().filter(|l| l.limiter.limit().is_some());
+        let share = HELD_LIMIT / limited.count().max(1);
+        let own = self.loads[id.0].queue.len();
+        let others = self.by_flow.len() - own.min(self.by_flow.len());
+        share.min(HELD_LIMIT - others.min(HELD_LIMIT))
+    }
+
+    fn forget(&mut self, request: &HeldRequest) {
+        self.by_flow.remove(&request.flow);
+        self.held_bytes -= request.size();
     }
 
-    /// Records that a request was shed.
-    pub fn record_shed(&mut self, service: &PublishedService, now: Millis) {
-        if let Some(load) = self.load_mut(service) {
-            load.shed = now;
+    /// Returns what is held of a flow.
+    pub fn held(&mut self, flow: &FlowKey) -> Option<&mut HeldRequest> {
+        let (id, ticket) = self.by_flow.get(flow)?;
+        self.loads[id.0].queue.get_mut(*ticket)
+    }
+
+    /// Adds a packet to the held request of its flow.
+    pub fn join(&mut self, segment: &Segment, packet: &[u8]) -> Option<Joined> {
+        let fits = self.held_bytes + packet.len() <= HELD_BYTES;
+        let joined = self.held(&segment.flow)?.join(segment, packet, fits);
+        if joined == Joined::Added {
+            self.held_bytes += packet.len();
         }
+        Some(joined)
     }
 
-    /// Updates the limits that are due, and returns those that began or ended. `find_overload`
-    /// examines the load of a service's targets.
+    /// Removes and returns the held request of a flow.
+    pub fn withdraw(&mut self, flow: &FlowKey) -> Option<HeldRequest> {
+        let (id, ticket) = self.by_flow.get(flow).copied()?;
+        let request = self.loads[id.0].queue.remove(ticket)?;
+        self.forget(&request);
+        Some(request)
+    }
+
+    /// Returns all held requests.
+    pub fn all_held(&self) -> impl Iterator<Item = &HeldRequest> {
+        let queues = self.loads.iter().map(|l| &l.queue);
+        queues.flat_map(|q| q.iter().map(|(_, request)| request))
+    }
+
+    /// Removes and returns a held request that has waited until its time was over.
+    pub fn take_expired(&mut self, now: Millis) -> Option<(LoadId, HeldRequest)> {
+        if self.by_flow.is_empty() {
+            return None;
+        }
+        let mut loads = self.loads.iter_mut().enumerate();
+        let expired = loads.find_map(|(i, load)| {
+            let (_, request) = load.queue.take_expired(now)?;
+            Some((LoadId(i), request))
+        });
+        let (id, request) = expired?;
+        self.forget(&request);
+        Some((id, request))
+    }
+
+    /// Removes and returns a held request of a service that has room for it: of the next ones with the
+    /// same precedence, the one for which `load` is the lowest. Requests for which it is `None` stay.
+    pub fn release(
+        &mut self,
+        now: Millis,
+        load_of: impl Fn(&HeldRequest) -> Option<f64>,
+    ) -> Option<HeldRequest> {
+        if self.by_flow.is_empty() {
+            return None;
+        }
+        let mut loads = self.loads.iter_mut().filter(|l| l.has_room());
+        let request = loads.find_map(|load| {
+            let peers = load.queue.peers_of_first(RELEASE_CHOICES, now);
+            let loads = peers.into_iter();
+            let loads = loads.filter_map(|(ticket, r)| Some((load_of(r)?, ticket)));
+            let least = loads.min_by(|(a, _), (b, _)| a.total_cmp(b));
+            let (_, request) = load.queue.serve(least?.1, now)?;
+            Some(request)
+        })?;
+        self.forget(&request);
+        Some(request)
+    }
+
+    /// Returns the next held request of each service whose targets may have a free slot although its
+    /// limit is reached. Each service is due again after [`RECHECK_INTERVAL`].
+    pub fn due_for_recheck(&mut self, now: Millis) -> Vec<(LoadId, FlowKey)> {
+        if self.by_flow.is_empty() {
+            return Vec::new();
+        }
+        let mut flows = Vec::new();
+        for (i, load) in self.loads.iter_mut().enumerate() {
+            if now.since(load.rechecked) >= RECHECK_INTERVAL {
+                load.rechecked = now;
+                let first = load.queue.first(now);
+                flows.extend(first.map(|(_, request)| (LoadId(i), request.flow)));
+            }
+        }
+        flows
+    }
+
+    /// Removes and returns the next held request of a service, whether or not there is room for it.
+    pub fn release_first(&mut self, id: LoadId, now: Millis) -> Option<HeldRequest> {
+        let (_, request) = self.loads[id.0].queue.pop(now)?;
+        self.forget(&request);
+        Some(request)
+    }
+
+    /// Returns when something is due: the expiry of a held request, or the next comparison with the
+    /// free slots of targets.
+    pub fn next_due(&self) -> Option<Millis> {
+        if self.by_flow.is_empty() {
+            return None;
+        }
+        let waiting = self.loads.iter().filter(|l| !l.queue.is_empty());
+        let dues = waiting.map(|load| {
+            let recheck = load.rechecked + RECHECK_INTERVAL;
+            load.queue.next_expiry().map_or(recheck, |e| e.min(recheck))
+        });
+        dues.min()
+    }
+
+    /// Returns whether the limits are due for an update.
+    pub fn is_update_due(&self, now: Millis) -> bool {
+        now.since(self.refreshed) >= REFRESH_INTERVAL
+    }
+
+    /// Updates all limits and returns those that began or ended. `find_capacity` examines the targets
+    /// of a service.
     pub fn update(
         &mut self,
         now: Millis,
-        find_overload: impl Fn(&PublishedService) -> Option<Overload>,
+        mut find_capacity: impl FnMut(&PublishedService) -> Capacity,
     ) -> Vec<LimitChange> {
+        self.refreshed = now;
         let mut changed = Vec::new();
-        for (service, id) in &self.services {
-            let load = &mut self.loads[id.0];
-            if !load.is_due(now) {
+        for load in &mut self.loads {
+            let own = load.load(now);
+            if load.running == 0 && load.limiter.limit().is_none() {
                 continue;
             }
-            let (was_limited, late_share) = (load.limit.is_some(), load.late_share());
-            let overload = load.is_late().then(|| find_overload(service)).flatten();
-            load.update(overload, now);
-            if load.limit.is_some() != was_limited {
+            if load
+                .examined
+                .is_none_or(|at| now.since(at) >= EXAMINE_INTERVAL)
+            {
+                load.examined = Some(now);
+                load.capacity = find_capacity(&load.name);
+            }
+            let capacity = load.capacity;
+            let fraction = self.shares.fraction(&load.name, own, now);
+            let was_limited = load.limiter.limit().is_some();
+            load.limiter.update(
+                capacity,
+                fraction,
+                (load.running, load.queue.len()),
+                own,
+                now,
+            );
+            if load.limiter.limit().is_some() != was_limited {
                 changed.push(LimitChange {
-                    service: service.clone(),
-                    limit: load.limit,
+                    service: load.name.clone(),
+                    limit: load.limiter.limit(),
                     running: load.running,
-                    late_share,
+                    others: capacity.others,
+                    slots: capacity.slots,
                 });
             }
         }
         changed
     }
+
+    /// Returns the offered and admitted rates of this instance, of the services with the highest ratio
+    /// of load to capacity first.
+    pub fn report(&self, now: Millis) -> Vec<(PublishedService, OfferedLoad)> {
+        let loads = self.loads.iter().map(|l| (l, l.load(now)));
+        let mut active: Vec<_> = loads.filter(|(_, own)| own.is_significant()).collect();
+        active.sort_by(|(a, _), (b, _)| b.limiter.ratio().total_cmp(&a.limiter.ratio()));
+        active.truncate(REPORT_LIMIT);
+        let reports = active.into_iter();
+        reports
+            .map(|(load, own)| (load.name.clone(), own))
+            .collect()
+    }
+
+    /// Returns the number of held requests and the size of their packets in bytes.
+    pub fn held_count(&self) -> (usize, usize) {
+        (self.by_flow.len(), self.held_bytes)
+    }
+}
+
+/// A step in the admission of a request to a service that is beyond its capacity, for the counters.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdmissionStep {
+    /// The route.
+    pub route: String,
+    /// The availability zone of this instance.
+    pub zone: PublishedZone,
+    /// Priority of the route.
+    pub priority: u64,
+    /// Whether the request may run twice.
+    pub repeatable: bool,
+    /// What happened.
+    pub outcome: Outcome,
+    /// How long the request has waited.
+    pub wait: Duration,
 }
--- a/crates/forward/src/beacon.rs
+++ b/crates/forward/src/beacon.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
-use tanager_core::Incarnation;
+use tanager_core::{Incarnation, PublishedService};
 
-use crate::{Cookie, Epoch, StoreRevision, Tally, TargetLoad, ViewVersion};
+use crate::{
+    Cookie, Epoch, OfferedLoad, StoreRevision, Tally, TargetLoad, ViewVersion, ZoneDemand,
+};
 
 /// A report on another instance, as gossiped in a [`Beacon`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -102,6 +104,61 @@
     units
 }
 
+/// Requests to a service that one or several instances of a zone were offered and have admitted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// The service.
+    pub service: PublishedService,
+    /// Position of the zone among the sorted zones of the fleet.
+    pub zone: u8,
+    /// Offered requests per second, in units of [`Self::RATE_UNIT`].
+    offered: u32,
+    /// Admitted requests per second, in the same unit.
+    admitted: u32,
+}
+
+impl DemandReport {
+    /// Resolution of the rates, in requests per second.
+    const RATE_UNIT: f64 = 0.1;
+
+    /// Creates a report. Rates outside the representable range are clamped.
+    #[must_use]
+    pub fn new(demand: &ZoneDemand) -> Self {
+        Self {
+            service: demand.service.clone(),
+            zone: demand.zone,
+            offered: rate_units(demand.load.offered),
+            admitted: rate_units(demand.load.admitted),
+        }
+    }
+
+    /// Returns the reported demand.
+    #[must_use]
+    pub fn demand(&self) -> ZoneDemand {
+        ZoneDemand {
+            service: self.service.clone(),
+            zone: self.zone,
+            load: OfferedLoad {
+                offered: f64::from(self.offered) * Self::RATE_UNIT,
+                admitted: f64::from(self.admitted) * Self::RATE_UNIT,
+            },
+        }
+    }
+}
+
+/// Converts a rate to multiples of its unit, clamped to the range of a report.
+fn rate_units(rate: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "clamped"
+    )]
+    let units = (rate / DemandReport::RATE_UNIT)
+        .round()
+        .clamp(0.0, f64::from(u32::MAX)) as u32;
+    units
+}
+
 /// The state that an instance periodically sends to others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -132,6 +189,8 @@
     pub epoch: Epoch,
     /// The version of its routes.
     pub routes: u64,
+    /// Requests offered to the sender, or to each zone that it knows of if it is the hub.
+    pub demands: Vec<DemandReport>,
 }
 
 impl Beacon {
--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -1,6 +1,6 @@
 //! The flow table of an instance, with the requests in progress on each flow.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis};
@@ -25,18 +25,20 @@
 /// A request or an opening that counts as in flight to its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Admitted {
-    /// When it was admitted.
-    pub since: Millis,
+    /// When it no longer counts although it was not answered.
+    pub due: Millis,
     /// Where it is counted.
     pub load: LoadId,
+    /// Whether its target had a free slot for it.
+    pub unqueued: bool,
 }
 
-/// Packets of a request that were shed because its service is overloaded.
+/// A request that was dropped because too many wait for its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shed {
-    /// When the first one was shed.
+    /// When its first packet arrived.
     pub first: Millis,
-    /// When the last decision to shed them was made.
+    /// When it was last dropped.
     pub last: Millis,
 }
 
@@ -105,7 +107,7 @@
     pub pending_answer: Option<PendingAnswer>,
     /// The request in flight, or the opening, if it still counts as in flight.
     pub admitted: Option<Admitted>,
-    /// When packets of the next request were shed, if they were.
+    /// The next request, if it was dropped.
     pub shed: Option<Shed>,
     /// When the last packet was received.
     pub last_seen: Millis,
@@ -198,7 +200,7 @@
     /// Requests that may still count as load.
     running: StartQueue,
     /// Admitted requests and openings that may still count as in flight.
-    admitted: StartQueue,
+    admitted: BTreeSet<(Millis, FlowKey)>,
     /// Requests whose answers may still have to be classified.
     pending_answers: StartQueue,
 }
@@ -252,25 +254,30 @@
     }
 
     /// Records where an admitted request or opening of a flow is counted.
-    pub fn admit(&mut self, key: &FlowKey, load: LoadId, now: Millis) {
+    pub fn admit(&mut self, key: &FlowKey, admitted: Admitted) {
         if let Some(flow) = self.records.get_mut(key) {
-            flow.admitted = Some(Admitted { since: now, load });
-            self.admitted.push(*key, now);
+            flow.admitted = Some(admitted);
+            flow.shed = None;
+            self.admitted.insert((admitted.due, *key));
         }
     }
 
-    /// Stops counting the request of a flow. Returns where it was counted, if it was.
-    pub fn end_admission(&mut self, key: &FlowKey) -> Option<LoadId> {
+    /// Stops counting the request of a flow. Returns how it was counted, if it was.
+    pub fn end_admission(&mut self, key: &FlowKey) -> Option<Admitted> {
         let flow = self.records.get_mut(key)?;
-        flow.admitted.take().map(|a| a.load)
+        flow.admitted.take()
     }
 
     /// Stops counting the next admitted request that has been in flight for too long, and returns
     /// where it was counted.
     pub fn take_overdue_admission(&mut self, now: Millis) -> Option<LoadId> {
-        while let Some((at, key)) = self.admitted.take(ANSWER_TIMEOUT, now) {
+        while let Some((due, key)) = self.admitted.first().copied() {
+            if due > now {
+                break;
+            }
+            self.admitted.pop_first();
             let flow = self.records.get_mut(&key);
-            let overdue = flow.and_then(|f| f.admitted.take_if(|a| a.since == at));
+            let overdue = flow.and_then(|f| f.admitted.take_if(|a| a.due == due));
             if let Some(admitted) = overdue {
                 return Some(admitted.load);
             }
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -27,8 +27,8 @@
 use crate::place::{Choice, Placement};
 use crate::view::View;
 use crate::{
-    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, ResetReason,
-    Route, Segment, SegmentKind, TargetNumber,
+    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Forward, QueueState,
+    ResetReason, Route, Segment, SegmentKind, TargetNumber,
 };
 pub use reports::Gauges;
 
@@ -37,6 +37,15 @@
 /// Idle time after which a flow is removed, if the configuration sets none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Whether a packet belongs to a request that has been admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pass {
+    /// It is still to be decided, if the packet begins a request.
+    Undecided,
+    /// It was held and is forwarded now.
+    Granted,
+}
+
 /// Decides what happens to each packet of one instance.
 pub struct Forwarder {
     zone: PublishedZone,
@@ -53,6 +62,8 @@
     released: Vec<UncertainPacket>,
     /// Openings to be sent to targets that do not know where their flows are open.
     corrections: Vec<DueAction>,
+    /// Resets of openings that no longer wait.
+    turned_away: Vec<DueAction>,
     /// Messages for peers. Invariant: limited in number.
     messages: Vec<FlowMessage>,
     liveness: LivenessTracker,
@@ -82,6 +93,7 @@
             lookups: Lookups::default(),
             released: Vec::new(),
             corrections: Vec::new(),
+            turned_away: Vec::new(),
             messages: Vec::new(),
             liveness: LivenessTracker::default(),
             health: Health::default(),
@@ -104,10 +116,18 @@
     pub fn handle_packet(&mut self, segment: &Segment, packet: &[u8], now: Millis) -> Action {
         self.end_overdue_requests(now);
         self.update_admission(now);
+        if let Some(action) = self.join_held(segment, packet, now) {
+            return action;
+        }
+        self.decide(segment, packet, Pass::Undecided, now)
+    }
+
+    /// Decides what to do with a packet that is not held.
+    fn decide(&mut self, segment: &Segment, packet: &[u8], pass: Pass, now: Millis) -> Action {
         let decision = match segment.kind {
             SegmentKind::Forged => Err(DropReason::Forged),
-            SegmentKind::Open { .. } => self.open(segment, packet, now),
-            _ => self.handle_established(segment, packet, now),
+            SegmentKind::Open { .. } => self.open(segment, packet, pass, now),
+            _ => self.handle_established(segment, packet, pass, now),
         };
         decision.unwrap_or_else(|reason| match reason {
             DropReason::UnknownTarget | DropReason::NoRoutes
@@ -119,21 +139,28 @@
         })
     }
 
-    /// Returns when [`Self::take_due`] should be called next for an opening packet or a lookup.
+    /// Returns when [`Self::take_due`] should be called next for an opening packet, a lookup or a held
+    /// request.
     pub fn next_due(&mut self) -> Option<Millis> {
-        let dues = [self.openings.next_due(), self.lookups.next_due()];
+        let dues = [
+            self.openings.next_due(),
+            self.lookups.next_due(),
+            self.admission.next_due(),
+        ];
         dues.into_iter().flatten().min()
     }
 
     /// Returns the actions that are due now: for packets held until a newer view arrived or their
     /// flow's target was looked up, for opening packets whose target did not answer in time, for
-    /// targets that do not know where a flow is open, and for flows that wait for a lost target.
+    /// targets that do not know where a flow is open, for flows that wait for a lost target, and for
+    /// held requests whose service has capacity.
     pub fn take_due(&mut self, now: Millis) -> Vec<DueAction> {
         let mut due = self.release_held(now);
         self.release_looked_up(&mut due, now);
         self.replace_unresponsive(&mut due, now);
         due.append(&mut self.corrections);
         self.reset_waiting(&mut due, now);
+        self.release_waiting(&mut due, now);
         self.classify_overdue_answers(now);
         due
     }
@@ -156,6 +183,7 @@
                 packet: held.packet,
             });
         }
+        self.reconsider_held(&mut due, now);
         due
     }
 
@@ -177,8 +205,9 @@
         self.liveness.retain(|n| view.get(n).is_some());
         self.loads.retain(|n| view.get(n).is_some());
         self.health.retain(|n| view.get(n).is_some());
-        self.health
-            .retain_routes(|address| view.routes().find(address).is_some());
+        let is_route = |address| view.routes().find(address).is_some();
+        self.health.retain_routes(is_route);
+        self.admission.work().retain(is_route);
         for change in self.health.changes(now) {
             self.record_event(Event::Health(change));
         }
@@ -241,12 +270,23 @@
         reason: ResetReason,
         sequence: u32,
     ) -> Action {
+        self.record_reset(flow, target, reason, None);
+        Action::Reset { sequence }
+    }
+
+    fn record_reset(
+        &mut self,
+        flow: FlowKey,
+        target: Option<TargetNumber>,
+        reason: ResetReason,
+        state: Option<QueueState>,
+    ) {
         self.record_event(Event::Reset {
             flow,
             target,
             reason,
+            state,
         });
-        Action::Reset { sequence }
     }
 
     fn drop_packet(&mut self, segment: &Segment, reason: DropReason) -> Action {
@@ -254,6 +294,7 @@
             flow: segment.flow,
             cookie: segment.cookie,
             reason,
+            state: None,
         });
         Action::Drop(reason)
     }
--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -32,7 +32,7 @@
         if self.view.routes().find(key.service).is_some() {
             let sound = self.health.record_answer(target, key.service, length, now);
             if !sound && length > 0 {
-                self.record_failed_answer(key);
+                self.record_failed_answer(key, target, now);
             }
         }
     }
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -5,23 +5,21 @@
 use tanager_core::Millis;
 
 use super::binding::Bound;
-use super::{EVENT_LIMIT, Forwarder, is_after};
-use crate::flows::{Request, Shed};
+use super::{EVENT_LIMIT, Forwarder, Pass, is_after};
+use crate::flows::Request;
 use crate::{Action, DropReason, FlowKey, Segment, SegmentKind, TargetNumber};
 
 /// Age of a request from which repeated data counts as a retransmission rather than as reordered.
 /// Clients retransmit after 200 ms.
 const MIN_RETRANSMISSION_AGE: Duration = Duration::from_millis(150);
 
-/// Time after which a shed request is forgotten. Longer than the time between two retransmissions.
-const SHED_LIFETIME: Duration = Duration::from_secs(2);
-
 impl Forwarder {
     /// Handles a packet of an established flow.
     pub(super) fn handle_established(
         &mut self,
         segment: &Segment,
         packet: &[u8],
+        pass: Pass,
         now: Millis,
     ) -> Result<Action, DropReason> {
         let key = segment.flow;
@@ -36,8 +34,11 @@
             };
         };
         self.observe_answer(segment, now);
-        if self.is_new_request(segment) && self.sheds_request(&key, target, now) {
-            return Err(DropReason::Overloaded);
+        if pass == Pass::Undecided
+            && self.is_new_request(segment)
+            && let Some(action) = self.admit_request(segment, packet, target, now)
+        {
+            return Ok(action);
         }
         self.observe_data(segment, now);
         if matches!(segment.kind, SegmentKind::Finish | SegmentKind::Abort) {
@@ -71,27 +72,6 @@
             && flow.is_some_and(|f| f.request.is_none() && is_after(end, f.sent))
     }
 
-    /// Returns whether to shed a new request on an open flow. The client retransmits it.
-    fn sheds_request(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) -> bool {
-        let Some(flow) = self.flows.get_mut(key) else {
-            return false;
-        };
-        if flow.admitted.is_some() {
-            return false;
-        }
-        let shed = flow.shed.filter(|s| now.since(s.last) < SHED_LIFETIME);
-        if shed.is_some_and(|s| now.since(s.last) < MIN_RETRANSMISSION_AGE) {
-            // Another packet of the request, or a copy.
-            return true;
-        }
-        let sheds = self.sheds(key, target, shed.map(|s| now.since(s.first)), now);
-        if let Some(flow) = self.flows.get_mut(key) {
-            let first = shed.map_or(now, |s| s.first);
-            flow.shed = sheds.then_some(Shed { first, last: now });
-        }
-        sheds
-    }
-
     /// Updates the flow, and the load and liveness of its target, from what a packet acknowledges.
     fn observe_answer(&mut self, segment: &Segment, now: Millis) {
         let key = segment.flow;
@@ -115,10 +95,12 @@
         if request.counted {
             self.loads.end_request(target, now);
         }
-        if let Some(load) = self.flows.end_admission(key) {
-            self.admission.end(load);
+        if let Some(admitted) = self.flows.end_admission(key) {
+            self.admission.end(admitted.load);
+            if admitted.unqueued {
+                self.admission.work().record(key.service, time);
+            }
         }
-        self.record_answer_time(key, time);
         if self.answer_times.len() < EVENT_LIMIT {
             self.answer_times.push(time);
         }
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -4,7 +4,7 @@
 
 use tanager_core::Millis;
 
-use super::Forwarder;
+use super::{Forwarder, Pass};
 use crate::flows::Flow;
 use crate::opening::MAX_TARGETS;
 use crate::{Action, DropReason, DueAction, FlowKey, Forward, ResetReason, Segment};
@@ -19,6 +19,7 @@
         &mut self,
         segment: &Segment,
         packet: &[u8],
+        pass: Pass,
         now: Millis,
     ) -> Result<Action, DropReason> {
         if let Some(forward) = self.retransmitted_open(segment, now) {
@@ -31,8 +32,10 @@
         let Some(choice) = self.choose(&service, &[], now) else {
             return Ok(self.reset(key, None, ResetReason::NoTarget, 0));
         };
-        if self.sheds(&key, choice.target, None, now) {
-            return Ok(self.reset(key, None, ResetReason::Overloaded, 0));
+        if pass == Pass::Undecided
+            && let Some(action) = self.admit_opening(segment, packet, choice.target, now)
+        {
+            return Ok(action);
         }
         self.remove_flow(&key, now);
         let flow = Flow::opening(choice.target, segment, now);
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -22,6 +22,10 @@
     pub lost: usize,
     /// Targets that fail requests.
     pub failing: usize,
+    /// Held requests.
+    pub held: usize,
+    /// Size of their packets in bytes.
+    pub held_bytes: usize,
 }
 
 impl Forwarder {
@@ -61,6 +65,7 @@
     #[must_use]
     pub fn gauges(&self, now: Millis) -> Gauges {
         let (suspect, lost) = self.liveness.count(&self.health, now);
+        let (held, held_bytes) = self.admission.held_count();
         Gauges {
             flows: self.flows.len(),
             waiting: self.loads.waiting() as usize,
@@ -68,6 +73,8 @@
             suspect,
             lost,
             failing: self.health.failing_count(),
+            held,
+            held_bytes,
         }
     }
 }
--- a/crates/forward/src/forwarder/resets.rs
+++ b/crates/forward/src/forwarder/resets.rs
@@ -32,6 +32,7 @@
         if lost.is_empty() || self.is_isolated(now) {
             return;
         }
+        self.reconsider_held(due, now);
         for (key, target) in self.flows.waiting_at(&lost, now) {
             if !self.is_idempotent(&key) {
                 continue;
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -32,8 +32,10 @@
 mod view;
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
-pub use admission::LimitChange;
-pub use beacon::{Beacon, LoadReport, MemberReport};
+pub use admission::{
+    AdmissionStep, LimitChange, OfferedLoad, Outcome, PeerDemands, QueueState, ZoneDemand,
+};
+pub use beacon::{Beacon, DemandReport, LoadReport, MemberReport};
 pub use flow_message::{FlowDatagram, FlowMessage};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -5,6 +5,7 @@
 //! and to the other hubs. An instance that receives no beacon from a hub becomes one itself, so
 //! each side of a network partition has hubs. Two hubs in one zone are harmless.
 
+mod demands;
 mod loads;
 mod outgoing;
 
@@ -13,7 +14,9 @@
 
 use tanager_core::{FastMap, Incarnation, Millis};
 
-use crate::{Beacon, LoadReport, MemberReport, StoreRevision, ViewVersion};
+use crate::{
+    Beacon, DemandReport, LoadReport, MemberReport, StoreRevision, ViewVersion, ZoneDemand,
+};
 pub use loads::LoadSums;
 
 /// Interval between beacons.
@@ -64,6 +67,7 @@
     /// When its view was last verified to be complete, on this instance's clock.
     verified: Millis,
     loads: Vec<LoadReport>,
+    demands: Vec<DemandReport>,
 }
 
 /// Role of an instance in its zone.
@@ -87,6 +91,10 @@
     leaving: bool,
     /// The loads of this instance last sent to the hub.
     last_reported: Vec<LoadReport>,
+    /// The demands of this instance.
+    own_demands: Vec<ZoneDemand>,
+    /// The demands of this instance last sent to the hub.
+    reported_demands: Vec<ZoneDemand>,
 }
 
 impl Membership {
@@ -102,6 +110,8 @@
             store_reachable: true,
             leaving: false,
             last_reported: Vec::new(),
+            own_demands: Vec::new(),
+            reported_demands: Vec::new(),
         };
         membership.set_seeds(seeds);
         membership
@@ -151,6 +161,7 @@
                 view: beacon.view(),
                 verified: now - age,
                 loads: beacon.loads.clone(),
+                demands: beacon.demands.clone(),
             }),
         };
         self.members.insert(beacon.from, member);
--- a/crates/forward/src/membership/outgoing.rs
+++ b/crates/forward/src/membership/outgoing.rs
@@ -142,6 +142,7 @@
             }
             Role::Hub => self.hub_loads(own_loads, self.is_same_zone(to), now),
         };
+        let demands = self.demand_reports(role, to, now);
         Beacon {
             from: self.own.address,
             incarnation: self.own.incarnation,
@@ -157,6 +158,7 @@
             loads,
             epoch: view.revision.epoch,
             routes: view.routes,
+            demands,
         }
     }
 }
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -176,6 +176,14 @@
         forwarder.handle_packet(&segment, b"data", now)
     }
 
+    /// Sends new data in a packet of these bytes.
+    pub fn send_packet(&mut self, forwarder: &mut Forwarder, packet: &[u8], now: Millis) -> Action {
+        let length = u16::try_from(packet.len()).expect("a small packet");
+        let segment = self.segment(SegmentKind::Data, length);
+        self.sent += u32::from(length);
+        forwarder.handle_packet(&segment, packet, now)
+    }
+
     /// Retransmits the last `length` bytes.
     pub fn resend(&self, forwarder: &mut Forwarder, length: u16, now: Millis) -> Action {
         let mut segment = self.segment(SegmentKind::Data, length);
--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -124,7 +124,7 @@
             Action::Reset { sequence } => self.reset(flow, sequence),
             Action::Wait => self.instance.pull_requested.notify_one(),
             // The lookup's message is sent by the task that exchanges messages with peers.
-            Action::LookUp | Action::Drop(_) => {}
+            Action::LookUp | Action::Hold | Action::Drop(_) => {}
         }
     }
 
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -109,7 +109,9 @@
         let view = (forwarder.view().version(), forwarder.view_age(now));
         (view, forwarder.load_report(now))
     };
+    let demands = instance.forwarder.borrow().demand_report(now);
     let mut membership = instance.membership.borrow_mut();
+    membership.set_demands(demands);
     let beacon = membership.beacon(*first, role, view, &loads, now);
     let log = &instance.reporter.log;
     let bytes = match postcard::to_stdvec(&beacon) {
@@ -167,11 +169,13 @@
     }
 }
 
-/// Applies the load that the other instances place on each target.
+/// Applies the load that the other instances place on each target, and what they were offered.
 fn apply_peer_loads(instance: &Instance, role: Role) {
     let now = instance.now();
     let loads = instance.membership.borrow().peer_loads(role, now);
+    let demands = instance.membership.borrow().peer_demands(role, now);
     let mut forwarder = instance.forwarder.borrow_mut();
+    forwarder.apply_peer_demands(demands, now);
     for (cookie, load) in loads {
         forwarder.apply_peer_load(cookie, &load, now);
     }
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -1,5 +1,7 @@
 //! Logs and metrics of the process.
 
+mod admission;
+
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -8,12 +10,13 @@
 use opentelemetry::metrics::Histogram;
 use slog::{Logger, info, warn};
 use tanager_core::{Clock, Millis};
-use tanager_forward::{DropReason, Event, Gauges, ResetReason, StoreRevision};
+use tanager_forward::{DropReason, Event, Gauges, QueueState, ResetReason, StoreRevision};
 use tanagerproxy::counters;
 use tanagerproxy::settings::LogSettings;
 use tanagerproxy::telemetry::{Exporter, Log};
 
 use crate::{Error, Result};
+use admission::AdmissionMetrics;
 
 /// Lines per second about the first placement of a flow. There is one for each flow.
 const PLACED_RATE: u32 = 40;
@@ -54,6 +57,8 @@
     pub openings_refused: Counter,
     /// Packets of requests dropped because their service was overloaded.
     pub packets_shed: Counter,
+    /// Openings and requests held until their service had capacity.
+    pub requests_held: Counter,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -88,6 +93,8 @@
     suspect: AtomicU64,
     lost: AtomicU64,
     failing: AtomicU64,
+    held: AtomicU64,
+    held_bytes: AtomicU64,
     peers: AtomicU64,
     ready: AtomicU64,
 }
@@ -104,6 +111,8 @@
         set(&self.suspect, gauges.suspect);
         set(&self.lost, gauges.lost);
         set(&self.failing, gauges.failing);
+        set(&self.held, gauges.held);
+        set(&self.held_bytes, gauges.held_bytes);
         set(&self.peers, peers);
         set(&self.ready, usize::from(ready));
     }
@@ -131,6 +140,14 @@
     ("targets_failing", "Targets that fail requests.", |c| {
         &c.failing
     }),
+    (
+        "requests_held",
+        "Requests held until their service has capacity.",
+        |c| &c.held,
+    ),
+    ("held_bytes", "Size of the packets of held requests.", |c| {
+        &c.held_bytes
+    }),
     ("peers", "Other instances heard from.", |c| &c.peers),
     ("ready", "1 if the instance takes packets.", |c| &c.ready),
 ];
@@ -174,6 +191,7 @@
     pub gauges: Arc<GaugeValues>,
     exporter: Exporter,
     answer_times: Histogram<f64>,
+    admission: AdmissionMetrics,
     /// For the first placement of each flow.
     placed: LineLimiter,
     /// For all other events.
@@ -209,6 +227,7 @@
             log: Log::new(settings, clock).logger().clone(),
             counters,
             gauges,
+            admission: AdmissionMetrics::new(&exporter),
             exporter,
             answer_times,
             placed: LineLimiter::new(PLACED_RATE),
@@ -244,6 +263,10 @@
         let age = age.map(millis);
         for event in events {
             self.count(event);
+            if matches!(event, Event::Admission(_)) {
+                // Counted only: there may be several for each request.
+                continue;
+            }
             let first = matches!(event, Event::Placed { attempt: 0, .. });
             let limiter = if first { &self.placed } else { &self.other };
             if limiter.try_consume(now) {
@@ -308,6 +331,8 @@
                 }
             }
             Event::HalfOpenCorrected { .. } => counters.half_open_corrected.increment(),
+            Event::Held { .. } => counters.requests_held.increment(),
+            Event::Admission(step) => self.admission.record(step),
             Event::Liveness(_) | Event::Health(_) | Event::Limit(_) => {}
         }
     }
@@ -329,15 +354,21 @@
                 flow,
                 target,
                 reason,
+                state,
             } => info!(self.log, "[forward] reset";
                 "flow" => %flow, "target" => target.map(|t| t.to_string()),
-                "reason" => %reason, "revision" => %revision, "view_age_ms" => age_ms),
+                "reason" => %reason, "waiting" => state.map(|s| s.waiting),
+                "limit" => state.and_then(limit), "running" => state.map(|s| s.running),
+                "revision" => %revision, "view_age_ms" => age_ms),
             Event::Dropped {
                 flow,
                 cookie,
                 reason,
+                state,
             } => info!(self.log, "[forward] dropped";
                 "flow" => %flow, "cookie" => %cookie, "reason" => %reason,
+                "waiting" => state.map(|s| s.waiting), "limit" => state.and_then(limit),
+                "running" => state.map(|s| s.running),
                 "revision" => %revision, "view_age_ms" => age_ms),
             Event::LookedUp { flow, target, told } => info!(self.log, "[forward] looked up";
                 "flow" => %flow, "target" => %target, "told" => told,
@@ -363,8 +394,14 @@
                 "revision" => %revision, "view_age_ms" => age_ms),
             Event::Limit(change) => info!(self.log, "[forward] service limit";
                 "service" => %change.service, "limit" => change.limit.map(rounded),
-                "running" => change.running, "late_share" => rounded(change.late_share),
+                "running" => change.running, "others" => rounded(change.others),
+                "slots" => rounded(change.slots),
+                "revision" => %revision, "view_age_ms" => age_ms),
+            Event::Held { flow, state } => info!(self.log, "[forward] held";
+                "flow" => %flow, "waiting" => state.waiting, "limit" => limit(*state),
+                "running" => state.running,
                 "revision" => %revision, "view_age_ms" => age_ms),
+            Event::Admission(_) => {}
         }
     }
 }
@@ -374,6 +411,10 @@
     (value * 1_000.0).round() / 1_000.0
 }
 
+fn limit(state: QueueState) -> Option<f64> {
+    state.limit.map(rounded)
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/proxy/src/telemetry/exporter.rs
+++ b/crates/proxy/src/telemetry/exporter.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use opentelemetry::metrics::{Histogram, Meter, MeterProvider as _};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider as _};
 use opentelemetry_sdk::error::OTelSdkError;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -75,6 +75,13 @@
             .build();
     }
 
+    /// Adds a counter whose values are distinguished by labels.
+    #[must_use]
+    pub fn labelled_counter(&self, name: &'static str, description: &'static str) -> Counter<u64> {
+        let instrument = self.meter.u64_counter(name);
+        instrument.with_description(description).build()
+    }
+
     /// Adds a histogram of durations in seconds.
     #[must_use]
     pub fn histogram(
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -115,6 +115,8 @@
         }
         let view = (self.forwarder.view().version(), Some(Duration::ZERO));
         let loads = self.forwarder.load_report(now);
+        self.membership
+            .set_demands(self.forwarder.demand_report(now));
         let recipients = self.membership.recipients(role, false, now);
         let beacons = recipients.into_iter().map(|to| {
             let beacon = self.membership.beacon(to, role, view, &loads, now);
@@ -136,6 +138,8 @@
 
     fn apply_peer_loads(&mut self, now: Millis) {
         let role = self.membership.role(Some(Duration::ZERO), now);
+        let demands = self.membership.peer_demands(role, now);
+        self.forwarder.apply_peer_demands(demands, now);
         for (cookie, load) in self.membership.peer_loads(role, now) {
             self.forwarder.apply_peer_load(cookie, &load, now);
         }
