Begin limits at once in a surge, and loosen them near the capacity

Until others' reports showed a burst, an instance sent more than its targets could take, and near the capacity the limit held requests that could be served, since flows are bound to targets. A limit now begins as soon as this instance's own requests in flight show a surge, has a depth of 2.5 requests a slot beyond the capacity and 5 near it, and the share of an instance is taken from rates of the same age.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -32,6 +32,9 @@
 const HELD_BYTES: usize = 1_500_000;
 /// Time over which offered and admitted rates are averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
+/// Time over which the rates are averaged that decide how tight a limit is. Short, so that a limit
+/// loosens soon after a burst.
+const RECENT_WINDOW: Duration = Duration::from_millis(250);
 /// Interval at which the next held request is compared with the free slots of targets, if no request
 /// in flight ends.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -113,6 +116,11 @@
     running: u32,
     offered: RateMeter,
     admitted: RateMeter,
+    /// The same over [`RECENT_WINDOW`].
+    recent: (RateMeter, RateMeter),
+    /// The rates that peers know. Compared with theirs, which are as old, they tell the share of this
+    /// instance better than the present ones.
+    reported: Option<OfferedLoad>,
     limiter: Limiter,
     queue: WaitQueue<HeldRequest>,
     /// When the next held request was last compared with the free slots of targets.
@@ -129,6 +137,8 @@
             running: 0,
             offered: RateMeter::new(RATE_WINDOW),
             admitted: RateMeter::new(RATE_WINDOW),
+            recent: (RateMeter::new(RECENT_WINDOW), RateMeter::new(RECENT_WINDOW)),
+            reported: None,
             limiter: Limiter::default(),
             queue: WaitQueue::new(HELD_LIMIT),
             rechecked: Millis::default(),
@@ -144,6 +154,13 @@
         }
     }
 
+    fn recent_load(&self, now: Millis) -> OfferedLoad {
+        OfferedLoad {
+            offered: self.recent.0.per_second(now),
+            admitted: self.recent.1.per_second(now),
+        }
+    }
+
     fn has_room(&self) -> bool {
         self.limiter.has_room(self.running)
     }
@@ -172,6 +189,8 @@
     shares: ZoneShares,
     work: WorkTimes,
     refreshed: Millis,
+    /// Whether a limit should begin before the next update is due.
+    surging: bool,
 }
 
 impl Admission {
@@ -198,7 +217,9 @@
 
     /// Records that a request was offered, whether or not it is admitted.
     pub fn record_offered(&mut self, id: LoadId, now: Millis) {
-        self.loads[id.0].offered.add(1.0, now);
+        let load = &mut self.loads[id.0];
+        load.offered.add(1.0, now);
+        load.recent.0.add(1.0, now);
     }
 
     /// Counts a request or an opening that is sent to a service.
@@ -207,6 +228,8 @@
         load.limiter.consume_room(load.running);
         load.running += 1;
         load.admitted.add(1.0, now);
+        load.recent.1.add(1.0, now);
+        self.surging |= load.limiter.is_surging(load.running);
     }
 
     /// Counts the end of a request.
@@ -404,7 +427,7 @@
 
     /// Returns whether the limits are due for an update.
     pub fn is_update_due(&self, now: Millis) -> bool {
-        now.since(self.refreshed) >= REFRESH_INTERVAL
+        self.surging || now.since(self.refreshed) >= REFRESH_INTERVAL
     }
 
     /// Updates all limits and returns those that began or ended. `find_capacity` examines the targets
@@ -415,6 +438,7 @@
         mut find_capacity: impl FnMut(&PublishedService) -> Capacity,
     ) -> Vec<LimitChange> {
         self.refreshed = now;
+        self.surging = false;
         let mut changed = Vec::new();
         for load in &mut self.loads {
             let own = load.load(now);
@@ -429,15 +453,14 @@
                 load.capacity = find_capacity(&load.name);
             }
             let capacity = load.capacity;
-            let fraction = self.shares.fraction(&load.name, own, now);
+            let fraction = self
+                .shares
+                .fraction(&load.name, load.reported.unwrap_or(own), now);
             let was_limited = load.limiter.limit().is_some();
-            load.limiter.update(
-                capacity,
-                fraction,
-                (load.running, load.queue.len()),
-                own,
-                now,
-            );
+            let recent = load.recent_load(now);
+            let waiting = u32::try_from(load.queue.len()).unwrap_or(u32::MAX);
+            load.limiter
+                .update(capacity, fraction, (load.running, waiting), recent, now);
             if load.limiter.limit().is_some() != was_limited {
                 changed.push(LimitChange {
                     service: load.name.clone(),
@@ -453,7 +476,10 @@
 
     /// Returns the offered and admitted rates of this instance, of the services with the highest ratio
     /// of load to capacity first.
-    pub fn report(&self, now: Millis) -> Vec<(PublishedService, OfferedLoad)> {
+    pub fn report(&mut self, now: Millis) -> Vec<(PublishedService, OfferedLoad)> {
+        for load in &mut self.loads {
+            load.reported = Some(load.load(now));
+        }
         let loads = self.loads.iter().map(|l| (l, l.load(now)));
         let mut active: Vec<_> = loads.filter(|(_, own)| own.is_significant()).collect();
         active.sort_by(|(a, _), (b, _)| b.limiter.ratio().total_cmp(&a.limiter.ratio()));
--- a/crates/forward/src/admission/limit.rs
+++ b/crates/forward/src/admission/limit.rs
@@ -15,7 +15,11 @@
 /// Requests in flight per slot while hardly more is offered than admitted. Requests on open flows are
 /// bound to their targets, so near the capacity some targets have long queues while others have free
 /// slots, and [`DEPTH`] would hold requests back that can be served.
-const LOOSE_DEPTH: f64 = 4.0;
+const LOOSE_DEPTH: f64 = 5.0;
+/// Share of refused requests from which [`DEPTH`] applies.
+const TIGHT_REFUSALS: f64 = 0.1;
+/// Time after a surge for which [`DEPTH`] applies: the rates need as long to show an overload.
+const SURGE_TIME: Duration = Duration::from_millis(300);
 /// Ratio of offered to admitted requests up to which [`LOOSE_DEPTH`] applies.
 const LOOSE_RATIO: f64 = 1.05;
 /// Ratio of offered to admitted requests from which [`DEPTH`] applies.
@@ -24,8 +28,10 @@
 const BUSY_DEPTH: f64 = 1.5;
 /// Standard deviations by which the requests in flight of this instance have to exceed its part of
 /// [`BUSY_DEPTH`] to show without reports of others, which are about a second old, that targets are
-/// busy.
-const SURGE_DEVIATIONS: f64 = 2.0;
+/// busy. They also have to exceed its part of [`LOOSE_DEPTH`].
+const SURGE_DEVIATIONS: f64 = 3.0;
+/// Requests in flight of this instance below which they show nothing about the targets.
+const MIN_SURGE: f64 = 4.0;
 /// Refusals per second by full targets from which a service is busy. Single ones occur by chance.
 const MIN_REFUSALS: f64 = 2.0;
 /// Share of refusals among all requests from which a service is busy.
@@ -70,6 +76,10 @@
     busy_at: Millis,
     /// Requests in flight per slot of the service.
     ratio: f64,
+    /// Requests in flight of this instance from which the targets are busy, whatever others report.
+    surge: f64,
+    /// When so many were last in flight.
+    surged: Millis,
 }
 
 impl Default for Limiter {
@@ -80,6 +90,8 @@
             refusals: RateMeter::new(Duration::from_secs(1)),
             busy_at: Millis::default(),
             ratio: 0.0,
+            surge: f64::INFINITY,
+            surged: Millis::default(),
         }
     }
 }
@@ -95,6 +107,11 @@
         self.ratio
     }
 
+    /// Returns whether so many requests are in flight that a limit should begin at once.
+    pub fn is_surging(&self, running: u32) -> bool {
+        self.limit.is_none() && f64::from(running) >= self.surge
+    }
+
     /// Returns whether another request can be admitted.
     pub fn has_room(&self, running: u32) -> bool {
         let Some(limit) = self.limit else {
@@ -128,7 +145,7 @@
         &mut self,
         capacity: Capacity,
         fraction: f64,
-        (running, waiting): (u32, usize),
+        (running, waiting): (u32, u32),
         own: OfferedLoad,
         now: Millis,
     ) {
@@ -138,7 +155,11 @@
         } else {
             0.0
         };
-        if self.is_busy(capacity, fraction, running, own.admitted, now) {
+        let expected = capacity.slots * BUSY_DEPTH * fraction;
+        let surge = expected + SURGE_DEVIATIONS * expected.sqrt();
+        let loose = capacity.slots * LOOSE_DEPTH * fraction;
+        self.surge = surge.max(loose).max(MIN_SURGE);
+        if self.is_busy(capacity, running, own.admitted, now) {
             self.busy_at = now;
         } else if now.since(self.busy_at) >= LIMIT_LIFETIME || capacity.slots <= 0.0 {
             self.limit = None;
@@ -147,19 +168,24 @@
         }
         // Any share has room for one request.
         let slots = capacity.slots * fraction;
-        self.limit = Some((slots * depth(own, waiting, slots)).max(1.0));
+        if running >= self.surge {
+            self.surged = now;
+        }
+        let refused = if own.admitted > 0.0 {
+            self.refusals.per_second(now) / own.admitted
+        } else {
+            0.0
+        };
+        let depth = if now.since(self.surged) < SURGE_TIME {
+            DEPTH
+        } else {
+            depth(own, refused, f64::from(waiting) / slots.max(1.0))
+        };
+        self.limit = Some((slots * depth).max(1.0));
     }
 
-    fn is_busy(
-        &self,
-        capacity: Capacity,
-        fraction: f64,
-        running: f64,
-        admitted: f64,
-        now: Millis,
-    ) -> bool {
-        let expected = capacity.slots * BUSY_DEPTH * fraction;
-        let surge = running >= expected + SURGE_DEVIATIONS * expected.sqrt();
+    fn is_busy(&self, capacity: Capacity, running: f64, admitted: f64, now: Millis) -> bool {
+        let surge = running >= self.surge;
         let refusals = self.refusals.per_second(now);
         let refused = refusals >= MIN_REFUSALS && refusals >= admitted * REFUSAL_SHARE;
         let used = running > 0.0 && capacity.slots > 0.0;
@@ -167,18 +193,18 @@
     }
 }
 
-/// Returns the requests in flight per slot at the present rates, with so many held requests for the
-/// slots of this instance's share.
-fn depth(own: OfferedLoad, waiting: usize, slots: f64) -> f64 {
+/// Returns the requests in flight per slot at the present rates, with a share of refused requests and
+/// so many held requests per slot.
+fn depth(own: OfferedLoad, refused: f64, waiting: f64) -> f64 {
     let offered = if own.admitted > 0.0 {
         own.offered / own.admitted
     } else {
         1.0
     };
     let by_rate = (offered - LOOSE_RATIO) / (TIGHT_RATIO - LOOSE_RATIO);
-    // The rates need a second to show an overload.
-    let waiting = f64::from(u32::try_from(waiting).unwrap_or(u32::MAX));
-    let by_queue = waiting / slots.max(1.0);
-    let excess = by_rate.max(by_queue).clamp(0.0, 1.0);
+    // Targets with short queues refuse requests before any is held, and the rates need a second to
+    // show an overload.
+    let excess = by_rate.max(refused / TIGHT_REFUSALS).max(waiting);
+    let excess = excess.clamp(0.0, 1.0);
     LOOSE_DEPTH + (DEPTH - LOOSE_DEPTH) * excess
 }
--- a/crates/forward/src/forwarder/admit.rs
+++ b/crates/forward/src/forwarder/admit.rs
@@ -45,8 +45,7 @@
 impl Forwarder {
     /// Returns the rates of requests that this instance was offered and has admitted, by service, for
     /// its peers.
-    #[must_use]
-    pub fn demand_report(&self, now: Millis) -> Vec<(PublishedService, OfferedLoad)> {
+    pub fn demand_report(&mut self, now: Millis) -> Vec<(PublishedService, OfferedLoad)> {
         self.admission.report(now)
     }
 
--- a/crates/forward/tests/common/mod.rs
+++ b/crates/forward/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod site;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -109,7 +109,7 @@
         let view = (forwarder.view().version(), forwarder.view_age(now));
         (view, forwarder.load_report(now))
     };
-    let demands = instance.forwarder.borrow().demand_report(now);
+    let demands = instance.forwarder.borrow_mut().demand_report(now);
     let mut membership = instance.membership.borrow_mut();
     membership.set_demands(demands);
     let beacon = membership.beacon(*first, role, view, &loads, now);
