Merge admission by the cost of delay

Refusals by full targets are told from failures in one place and raise the limit's notice. Only the first beacon of a round carries demands.

--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -2,7 +2,7 @@
 
 use tanager_core::Millis;
 
-use super::Forwarder;
+use super::{Forwarder, route_of};
 use crate::flows::{Flow, PendingAnswer};
 use crate::health::{Answer, Outcome};
 use crate::{FlowKey, TargetNumber};
@@ -55,10 +55,7 @@
         };
         let outcome = self.health.record_answer(target, answer, now);
         if outcome == Outcome::Refused {
-            self.record_refusal(target, now);
-        }
-        if outcome != Outcome::Answered && length > 0 {
-            self.record_failed_answer(key);
+            self.record_refusal(key, target, now);
         }
     }
 
@@ -87,9 +84,13 @@
     }
 
     /// Avoids a target that has refused a request for the time that its queue takes to empty.
-    fn record_refusal(&mut self, target: TargetNumber, now: Millis) {
+    fn record_refusal(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
         let time = self.placement.queue_time(&self.observations(now), target);
         self.health.record_refusal(target, now + time);
+        if let Some((_, service)) = route_of(&self.view, key) {
+            let id = self.admission.id(service);
+            self.admission.record_refusal(id, now);
+        }
     }
 
     /// Classifies the answers that are overdue.
--- a/crates/forward/src/forwarder/reports.rs
+++ b/crates/forward/src/forwarder/reports.rs
@@ -24,6 +24,10 @@
     pub failing: usize,
     /// Evacuated zones.
     pub evacuated: usize,
+    /// Held requests.
+    pub held: usize,
+    /// Size of their packets in bytes.
+    pub held_bytes: usize,
 }
 
 impl Forwarder {
@@ -66,6 +70,7 @@
     #[must_use]
     pub fn gauges(&self, now: Millis) -> Gauges {
         let (suspect, lost) = self.liveness.count(&self.health, now);
+        let (held, held_bytes) = self.admission.held_count();
         Gauges {
             flows: self.flows.len(),
             waiting: self.loads.waiting() as usize,
@@ -74,6 +79,8 @@
             lost,
             failing: self.health.failing_count(),
             evacuated: self.view.evacuations().count(),
+            held,
+            held_bytes,
         }
     }
 }
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -34,8 +34,10 @@
 mod view;
 
 pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
-pub use admission::LimitChange;
-pub use beacon::{Beacon, LoadPart, LoadReport, MemberReport, ZonePosition};
+pub use admission::{
+    AdmissionStep, LimitChange, OfferedLoad, Outcome, PeerDemands, QueueState, ZoneDemand,
+};
+pub use beacon::{Beacon, DemandReport, LoadPart, LoadReport, MemberReport, ZonePosition};
 pub use flow_message::{FlowDatagram, FlowMessage};
 pub use flows::FLOW_LIMIT;
 pub use forwarder::{Forwarder, Gauges};
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -5,6 +5,7 @@
 //! and to the other hubs. An instance that receives no beacon from a hub becomes one itself, so
 //! each side of a network partition has hubs. Two hubs in one zone are harmless.
 
+mod demands;
 mod loads;
 mod outgoing;
 mod parts;
@@ -15,7 +16,7 @@
 
 use tanager_core::{FastMap, Incarnation, Millis};
 
-use crate::{Beacon, MemberReport, StoreRevision, ViewVersion};
+use crate::{Beacon, DemandReport, MemberReport, StoreRevision, ViewVersion, ZoneDemand};
 pub use loads::LoadSums;
 use parts::{HeardLoads, LoadSender};
 use position::HeardPosition;
@@ -69,6 +70,7 @@
     /// When its view was last verified to be complete, on this instance's clock.
     verified: Millis,
     loads: HeardLoads,
+    demands: Vec<DemandReport>,
 }
 
 /// Role of an instance in its zone.
@@ -100,6 +102,10 @@
     to_other_zones: LoadSender,
     /// The position that the hub told last.
     position: Option<HeardPosition>,
+    /// The demands of this instance.
+    own_demands: Vec<ZoneDemand>,
+    /// The demands of this instance last sent to the hub.
+    reported_demands: Vec<ZoneDemand>,
 }
 
 impl Membership {
@@ -119,6 +125,8 @@
             to_zone: LoadSender::default(),
             to_other_zones: LoadSender::default(),
             position: None,
+            own_demands: Vec::new(),
+            reported_demands: Vec::new(),
         };
         membership.set_seeds(seeds);
         membership
@@ -156,7 +164,11 @@
         }
         self.apply_position(beacon, now);
         let age = Duration::from_millis(u64::from(beacon.age_ms));
-        let mut loads = self.take_loads(beacon);
+        let (mut loads, mut demands) = self.take_reports(beacon);
+        // Only the first beacon of a round carries demands.
+        if beacon.load_part.index == 0 {
+            demands.clone_from(&beacon.demands);
+        }
         loads.apply(beacon.load_part, &beacon.loads, &self.to_hub, now);
         let member = Member {
             zone: beacon.zone,
@@ -171,18 +183,19 @@
                 view: beacon.view(),
                 verified: now - age,
                 loads,
+                demands,
             }),
         };
         self.members.insert(beacon.from, member);
     }
 
-    /// Returns the loads that a beacon's sender has reported so far. They are void if it has restarted,
-    /// or has become or ceased to be a hub, since a hub reports those of its zone.
-    fn take_loads(&mut self, beacon: &Beacon) -> HeardLoads {
+    /// Returns the loads and demands that a beacon's sender has reported so far. They are void if it has
+    /// restarted, or has become or ceased to be a hub, since a hub reports those of its zone.
+    fn take_reports(&mut self, beacon: &Beacon) -> (HeardLoads, Vec<DemandReport>) {
         let member = self.members.remove(&beacon.from);
         let same = |d: &DirectReport| d.incarnation == beacon.incarnation && d.hub == beacon.hub;
         let direct = member.and_then(|m| m.direct).filter(same);
-        direct.map(|d| d.loads).unwrap_or_default()
+        direct.map(|d| (d.loads, d.demands)).unwrap_or_default()
     }
 
     fn apply_report(&mut self, report: &MemberReport, now: Millis) {
--- a/crates/forward/src/membership/outgoing.rs
+++ b/crates/forward/src/membership/outgoing.rs
@@ -160,6 +160,7 @@
             }
         };
         let members = self.reports(now);
+        let demands = self.demand_reports(role, to, now);
         let beacons = parts.into_iter().map(|(load_part, loads)| Beacon {
             from: self.own.address,
             incarnation: self.own.incarnation,
@@ -181,6 +182,11 @@
             routes: view.routes,
             load_part,
             position: None,
+            demands: if load_part.index == 0 {
+                demands.clone()
+            } else {
+                Vec::new()
+            },
         });
         beacons.collect()
     }
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -349,6 +349,7 @@
                 rounds: 1,
             },
             position: None,
+            demands: Vec::new(),
         };
         instance.membership.borrow_mut().apply_beacon(&higher, now);
         instance.view_unreadable.set(true);
--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -151,6 +151,8 @@
         }
         let ring = self.membership.ring_point(role, now);
         self.forwarder.set_ring_point(ring);
+        self.membership
+            .set_demands(self.forwarder.demand_report(now));
         let recipients = self.membership.recipients(role, false, now);
         let is_near = |to: &SocketAddrV4| self.membership.is_same_zone(*to);
         let (near, far): (Vec<_>, Vec<_>) = recipients.into_iter().partition(is_near);
@@ -206,6 +208,8 @@
 
     fn apply_peer_loads(&mut self, now: Millis) {
         let role = self.membership.role(Some(Duration::ZERO), now);
+        let demands = self.membership.peer_demands(role, now);
+        self.forwarder.apply_peer_demands(demands, now);
         for (cookie, load) in self.membership.peer_loads(role, now) {
             self.forwarder.apply_peer_load(cookie, &load, now);
         }
--- a/crates/standins/src/model/world/packets.rs
+++ b/crates/standins/src/model/world/packets.rs
@@ -60,7 +60,7 @@
                 self.report.wrong_resets += u64::from(is_reachable);
                 self.send(zone, zone, Event::ReplyAtCaller(id, Reply::Reset));
             }
-            Action::Wait | Action::LookUp | Action::Drop(_) => {}
+            Action::Wait | Action::LookUp | Action::Hold | Action::Drop(_) => {}
         }
     }
 
