--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -62,7 +62,7 @@
     /// Returns whether an answer came well before the usual time, from a target that is so busy that
     /// its queue may have been full.
     fn suits_refusal(
-        &self,
+        &mut self,
         key: &FlowKey,
         target: TargetNumber,
         pending: &PendingAnswer,
@@ -76,6 +76,9 @@
         if !soon {
             return false;
         }
+        if self.is_overloaded(key) {
+            return true;
+        }
         let usage = self.placement.usage(&self.observations(now), target);
         let rare = self.health.refused_share(target, now) < RARE_REFUSALS;
         usage.running >= REFUSAL_LOAD
@@ -83,6 +86,16 @@
             || (rare && usage.busy >= MIN_REFUSAL_USE)
     }
 
+    /// Returns whether the requests in flight to the service of a flow are limited. Its targets then
+    /// refuse requests because they are full.
+    fn is_overloaded(&mut self, key: &FlowKey) -> bool {
+        let Some((_, service)) = route_of(&self.view, key) else {
+            return false;
+        };
+        let id = self.admission.id(service);
+        self.admission.is_limited(id)
+    }
+
     /// Avoids a target that has refused a request for the time that its queue takes to empty.
     fn record_refusal(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
         let time = self.placement.queue_time(&self.observations(now), target);
