Take no target for failing while its service is limited

A full target may refuse a request only after it has waited in its queue, so the time of the answer does not tell a refusal from a failure.

--- a/crates/forward/src/forwarder/answers.rs
+++ b/crates/forward/src/forwarder/answers.rs
@@ -68,6 +68,9 @@
         pending: &PendingAnswer,
         now: Millis,
     ) -> bool {
+        if self.is_overloaded(key) {
+            return true;
+        }
         let time = pending.answered.map(|at| at.since(pending.started));
         let usual = self.load_times.usual(key.service);
         let soon = time
@@ -76,9 +79,6 @@
         if !soon {
             return false;
         }
-        if self.is_overloaded(key) {
-            return true;
-        }
         let usage = self.placement.usage(&self.observations(now), target);
         let rare = self.health.refused_share(target, now) < RARE_REFUSALS;
         usage.running >= REFUSAL_LOAD
@@ -96,10 +96,14 @@
         self.admission.is_limited(id)
     }
 
-    /// Avoids a target that has refused a request for the time that its queue takes to empty.
+    /// Avoids a target that has refused a request for the time that its queue takes to empty. Beyond
+    /// the capacity of a service, the limit on its requests keeps queues short, and a target that is
+    /// avoided would idle.
     fn record_refusal(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
-        let time = self.placement.queue_time(&self.observations(now), target);
-        self.health.record_refusal(target, now + time);
+        if !self.is_overloaded(key) {
+            let time = self.placement.queue_time(&self.observations(now), target);
+            self.health.record_refusal(target, now + time);
+        }
         if let Some((_, service)) = route_of(&self.view, key) {
             let id = self.admission.id(service);
             self.admission.record_refusal(id, now);
