Keep the last reported demands of zones for 3 s

A new hub, which has not heard all instances of its zone yet, replaced the demands of the zone by what it had, and took too large a share. Reports that are left out now remain until they are 3 s old. Held requests are released in order, whatever the load of their targets, once the limit has ended.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -376,6 +376,10 @@
         }
         let mut loads = self.loads.iter_mut().filter(|l| l.has_room());
         let request = loads.find_map(|load| {
+            if load.limiter.limit().is_none() {
+                // The overload is over, and nothing is held for the sake of a target.
+                return load.queue.pop(now).map(|(_, request)| request);
+            }
             let peers = load.queue.peers_of_first(RELEASE_CHOICES, now);
             let loads = peers.into_iter();
             let loads = loads.filter_map(|(ticket, r)| Some((load_of(r)?, ticket)));
--- a/crates/forward/src/admission/shares.rs
+++ b/crates/forward/src/admission/shares.rs
@@ -65,32 +65,32 @@
 #[derive(Debug, Default)]
 pub struct ZoneShares {
     own_zone: u8,
-    zones: FastMap<PublishedService, Vec<(u8, OfferedLoad)>>,
-    received: Millis,
+    /// By service and zone, with the time of the report.
+    zones: FastMap<PublishedService, FastMap<u8, (OfferedLoad, Millis)>>,
 }
 
 impl ZoneShares {
-    /// Replaces the reports.
+    /// Applies new reports. What they leave out remains until it is [`LIFETIME`] old: the hub or the
+    /// path to it may have failed.
     pub fn set(&mut self, demands: PeerDemands, now: Millis) {
         self.own_zone = demands.own_zone;
-        self.received = now;
-        self.zones.clear();
         for demand in demands.demands {
             let zones = self.zones.entry(demand.service).or_default();
-            zones.push((demand.zone, demand.load));
+            zones.insert(demand.zone, (demand.load, now));
         }
+        self.zones.retain(|_, zones| {
+            zones.retain(|_, (_, received)| now.since(*received) < LIFETIME);
+            !zones.is_empty()
+        });
     }
 
     /// Returns the part of the capacity of a service to which this instance is entitled, 0 to 1. Without
     /// reports it is all of it.
     pub fn fraction(&self, service: &PublishedService, own: OfferedLoad, now: Millis) -> f64 {
-        let recent = now.since(self.received) < LIFETIME;
-        let reported = self.zones.get(service).filter(|_| recent);
-        let mut zones: FastMap<u8, OfferedLoad> = FastMap::default();
-        for (zone, load) in reported.into_iter().flatten() {
-            zones.entry(*zone).or_default().add(*load, 1.0);
-        }
-        let own_zone = zones.entry(self.own_zone).or_default();
+        let reported = self.zones.get(service).into_iter().flatten();
+        let recent = reported.filter(|(_, (_, received))| now.since(*received) < LIFETIME);
+        let mut zones: FastMap<u8, _> = recent.map(|(zone, (load, _))| (*zone, *load)).collect();
+        let own_zone: &mut OfferedLoad = zones.entry(self.own_zone).or_default();
         own_zone.add(own, 1.0);
         if own_zone.offered <= 0.0 {
             return 0.0;
--- a/crates/forward/tests/hubs.rs
+++ b/crates/forward/tests/hubs.rs
@@ -6,11 +6,11 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use common::at;
+use common::{at, service};
 use tanager_core::{Incarnation, Millis};
 use tanager_forward::{
-    Cookie, Epoch, LoadReport, Membership, OwnInstance, Role, StoreRevision, Tally, TargetLoad,
-    ViewVersion,
+    Cookie, Epoch, LoadReport, Membership, OfferedLoad, OwnInstance, Role, StoreRevision, Tally,
+    TargetLoad, ViewVersion,
 };
 
 /// Largest UDP payload in bytes that fits into an Ethernet frame of 1,500 bytes.
@@ -64,6 +64,42 @@
     LoadReport::new(Cookie::new(cookie), &load).expect("a load to report")
 }
 
+/// Guards against shares by the demand of a part of the fleet: hubs sum their zone, tell the other hubs,
+/// and pass on what those tell. An instance's own demand is not among that of its peers.
+#[test]
+fn demands_of_all_zones_reach_every_instance() {
+    let mut hub = member(1, 0, 500);
+    let mut leaf = member(2, 0, 38);
+    let mut foreign = member(3, 1, 500);
+    for (instance, offered) in [(&mut hub, 10.0), (&mut leaf, 20.0), (&mut foreign, 40.0)] {
+        let admitted = offered / 2.0;
+        instance.set_demands(vec![(service("feeds"), OfferedLoad { offered, admitted })]);
+    }
+
+    // The second round passes on what the first one told.
+    for round in 0..2 {
+        let now = at(round * 400);
+        send(&mut hub, &mut leaf, 2, &[], now);
+        send(&mut leaf, &mut hub, 1, &[], now);
+        send(&mut foreign, &mut hub, 1, &[], now);
+        send(&mut hub, &mut foreign, 3, &[], now);
+    }
+    send(&mut hub, &mut leaf, 2, &[], at(800));
+
+    let offered = |instance: &Membership, zone: u8| {
+        let peers = instance.peer_demands(instance.role(RECENT, at(800)), at(800));
+        let demands = peers.demands.iter().filter(|d| d.zone == zone);
+        let sum = demands.fold(0.0, |sum, d| sum + d.load.offered);
+        format!("{sum:.1}")
+    };
+    assert_eq!([offered(&hub, 0), offered(&hub, 1)], ["20.0", "40.0"]);
+    assert_eq!([offered(&leaf, 0), offered(&leaf, 1)], ["10.0", "40.0"]);
+    assert_eq!(
+        [offered(&foreign, 0), offered(&foreign, 1)],
+        ["30.0", "0.0"]
+    );
+}
+
 /// Guards against every instance of the fleet reading the store.
 #[test]
 fn the_largest_instance_of_a_zone_reads() {
