Order the concurrency gate by the shared queue

The gate had an order of its own and counted the requests ahead by walking them. It now uses WaitQueue, which counts them in O(log n); class, deadline and arrival decide as before, and its tests are unchanged. Tickets of removed requests that had expired are dropped, since the gate never takes expired ones.

--- a/crates/admission/src/order.rs
+++ b/crates/admission/src/order.rs
@@ -1,4 +1,4 @@
-//! An ordered set of weighted keys with the sum of the weights before a key.
+//! An ordered set of weighted keys with the number and the sum of the weights of the keys before one.
 //!
 //! A treap: a search tree by key that is also a heap by a hash, which keeps it balanced. All
 //! operations take O(log n) on average. The standard library's trees have no sums.
@@ -21,13 +21,17 @@
     height: u64,
     /// Sum of the weights of this node and all nodes below.
     sum: f64,
+    /// Number of this node and all nodes below.
+    count: usize,
     left: Link<K>,
     right: Link<K>,
 }
 
 impl<K> Node<K> {
     fn update(&mut self) {
-        self.sum = sum(self.left.as_deref()) + self.weight + sum(self.right.as_deref());
+        let (left, right) = (self.left.as_deref(), self.right.as_deref());
+        self.sum = sum(left) + self.weight + sum(right);
+        self.count = count(left) + 1 + count(right);
     }
 }
 
@@ -52,6 +56,7 @@
             weight,
             height: mixed ^ (mixed >> 31),
             sum: weight,
+            count: 1,
             left: None,
             right: None,
         });
@@ -89,19 +94,22 @@
         Some(node.key)
     }
 
-    /// Returns the sum of the weights of all keys below one, which need not be in the set.
-    pub fn weight_before(&self, key: &K) -> f64 {
+    /// Returns the sum of the weights of all keys below one, which need not be in the set, and their
+    /// number.
+    pub fn before(&self, key: &K) -> (f64, usize) {
         let mut link = &self.root;
-        let mut before = 0.0;
+        let (mut weight, mut number) = (0.0, 0);
         while let Some(node) = link {
             if node.key < *key {
-                before += sum(node.left.as_deref()) + node.weight;
+                let left = node.left.as_deref();
+                weight += sum(left) + node.weight;
+                number += count(left) + 1;
                 link = &node.right;
             } else {
                 link = &node.left;
             }
         }
-        before
+        (weight, number)
     }
 }
 
@@ -109,6 +117,10 @@
     link.map_or(0.0, |n| n.sum)
 }
 
+fn count<K>(link: Option<&Node<K>>) -> usize {
+    link.map_or(0, |n| n.count)
+}
+
 /// Splits a tree into the keys below `key` and the others.
 fn split<K: Ord>(link: Link<K>, key: &K) -> (Link<K>, Link<K>) {
     let Some(mut node) = link else {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -184,6 +184,12 @@
         self.wait_at(&place, demand.weight(), now)
     }
 
+    /// Returns the number of waiting requests that would be served before a new one.
+    #[must_use]
+    pub fn ahead(&self, demand: &Demand, now: Millis) -> usize {
+        self.order.before(&self.place(demand, false, now)).1
+    }
+
     /// Returns the request to be served next.
     pub fn first(&mut self, now: Millis) -> Option<(&Demand, &T)> {
         self.advance(now);
@@ -265,7 +271,7 @@
     }
 
     fn wait_at(&self, place: &Place, work: f64, now: Millis) -> Duration {
-        let ahead = self.order.weight_before(place);
+        let (ahead, _) = self.order.before(place);
         if ahead <= 0.0 {
             // It is served next, whatever the rate was.
             return Duration::ZERO;
@@ -300,6 +306,13 @@
 
     /// Moves the requests that have become late or have expired. Each moves at most twice.
     fn advance(&mut self, now: Millis) {
+        // Expired requests may be removed by their tickets.
+        let entries = &self.entries;
+        while self
+            .expired
+            .pop_front_if(|t| !entries.contains_key(t))
+            .is_some()
+        {}
         while let Some(ticket) = take_first(&mut self.deadlines, |at| at <= now) {
             if let Some(entry) = self.entries.get(&ticket) {
                 self.order.remove(&entry.place);
--- a/crates/proxy/src/admission/gate.rs
+++ b/crates/proxy/src/admission/gate.rs
@@ -1,8 +1,9 @@
 //! Bounds the runs in flight of one service, and queues further requests.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use tanager_admission::{Demand, GroupId, LatePolicy, Pushed, Refusal, Ticket, WaitQueue};
 use tanager_core::{Clock, Millis, ResultCode};
 use tokio::sync::oneshot;
 
@@ -10,8 +11,6 @@
 use crate::admission::limiter::Limiter;
 use crate::catalogue::PriorityClass;
 
-/// Key of a request in the admission queue: class, deadline, arrival.
-type QueueKey = (PriorityClass, Millis, u64);
 type Grant = Result<Permit, AdmissionError>;
 
 /// Bounds the runs in flight of one service, and queues further requests.
@@ -25,8 +24,8 @@
 struct State {
     limiter: Limiter,
     running: u32,
-    queue: BTreeMap<QueueKey, oneshot::Sender<Grant>>,
-    next_arrival: u64,
+    /// Waiting requests, ordered by class, deadline and arrival.
+    queue: WaitQueue<oneshot::Sender<Grant>>,
 }
 
 /// How an admitted request ended.
@@ -67,12 +66,12 @@
 /// Removes a request from the queue when its wait ends in any way.
 struct QueueGuard<'a> {
     gate: &'a ConcurrencyGate,
-    key: QueueKey,
+    ticket: Ticket,
 }
 
 impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        self.gate.lock().queue.remove(&self.key);
+        self.gate.lock().queue.remove(self.ticket);
     }
 }
 
@@ -81,8 +80,7 @@
         let state = State {
             limiter,
             running: 0,
-            queue: BTreeMap::new(),
-            next_arrival: 0,
+            queue: WaitQueue::new(0),
         };
         Self {
             clock,
@@ -103,11 +101,11 @@
         deadline: Millis,
         queue_limit: u32,
     ) -> Grant {
-        let (key, receiver) = match self.enqueue(class, deadline, queue_limit)? {
+        let (ticket, receiver) = match self.enqueue(class, deadline, queue_limit)? {
             Admitted::Granted(permit) => return Ok(permit),
-            Admitted::Queued(key, receiver) => (key, receiver),
+            Admitted::Queued(ticket, receiver) => (ticket, receiver),
         };
-        let guard = QueueGuard { gate: self, key };
+        let guard = QueueGuard { gate: self, ticket };
         let left = deadline.since(self.clock.now());
         let granted = tokio::time::timeout(left, receiver).await;
         drop(guard);
@@ -133,22 +131,24 @@
             state.running += 1;
             return Ok(Admitted::Granted(self.permit(now)));
         }
-        let key = (class, deadline, state.next_arrival);
-        state.next_arrival += 1;
-        if now + state.expected_time(&key) > deadline {
-            let reason = "the deadline cannot be met because of the requests queued ahead";
-            return Err(state.refuse(ResultCode::QueueDeadline, reason));
+        let demand = demand(class, deadline);
+        if now + state.expected_time(&demand, now) > deadline {
+            return Err(state.refuse_push(Refusal::Late));
         }
-        let evicted = state.make_room(&key, queue_limit)?;
         let (sender, receiver) = oneshot::channel();
-        state.queue.insert(key, sender);
-        if let Some(sender) = evicted {
+        state.queue.set_limit(queue_limit as usize);
+        let pushed = state.queue.push(demand, LatePolicy::Keep, sender, now);
+        let (ticket, displaced) = match pushed {
+            Pushed::Queued { ticket, displaced } => (ticket, displaced),
+            Pushed::Refused { reason, .. } => return Err(state.refuse_push(reason)),
+        };
+        if let Some(sender) = displaced {
             let reason = "a more urgent request replaced it in the full queue";
             let refused = state.refuse(ResultCode::QueueFull, reason);
             drop(state);
             let _ = sender.send(Err(refused));
         }
-        Ok(Admitted::Queued(key, receiver))
+        Ok(Admitted::Queued(ticket, receiver))
     }
 
     fn release(self: &Arc<Self>, granted: Millis, completion: Completion) {
@@ -163,10 +163,10 @@
         state.running -= 1;
         let mut grants: Vec<(oneshot::Sender<Grant>, Grant)> = Vec::new();
         while state.limiter.allows(state.running) {
-            let Some(((_, deadline, _), sender)) = state.queue.pop_first() else {
+            let Some((demand, sender)) = state.queue.pop(now) else {
                 break;
             };
-            let grant = if now + state.limiter.median_time() > deadline {
+            let grant = if now + state.limiter.median_time() > demand.deadline {
                 let reason = "the deadline cannot be met with the measured service time";
                 Err(state.refuse(ResultCode::QueueDeadline, reason))
             } else {
@@ -204,31 +204,38 @@
 
 enum Admitted {
     Granted(Permit),
-    Queued(QueueKey, oneshot::Receiver<Grant>),
+    Queued(Ticket, oneshot::Receiver<Grant>),
+}
+
+/// Returns the demand of a request, all of whose order is its class and deadline.
+fn demand(class: PriorityClass, deadline: Millis) -> Demand {
+    Demand {
+        priority: class as u64,
+        repeatable: true,
+        objective: deadline,
+        deadline,
+        work: Duration::ZERO,
+        group: GroupId::new(0),
+    }
 }
 
 impl State {
-    /// Returns the expected time until a request with the key would be completed.
-    fn expected_time(&self, key: &QueueKey) -> std::time::Duration {
-        let before = self.queue.range(..key).count();
+    /// Returns the expected time until a new request would be completed.
+    fn expected_time(&self, demand: &Demand, now: Millis) -> Duration {
+        let before = self.queue.ahead(demand, now);
         let before = f64::from(u32::try_from(before).unwrap_or(u32::MAX));
         let rounds = (before + 1.0) / self.limiter.limit() + 1.0;
         self.limiter.median_time().mul_f64(rounds)
     }
 
-    /// If the queue is full, removes its last request in favour of a more urgent one, or refuses
-    /// the request with the key.
-    fn make_room(
-        &mut self,
-        key: &QueueKey,
-        queue_limit: u32,
-    ) -> Result<Option<oneshot::Sender<Grant>>, AdmissionError> {
-        if self.queue.len() < queue_limit as usize {
-            return Ok(None);
-        }
-        match self.queue.last_entry() {
-            Some(last) if last.key() > key => Ok(Some(last.remove())),
-            _ => Err(self.refuse(ResultCode::QueueFull, "the waiting queue is full")),
+    /// Returns the refusal of a request that is not queued.
+    fn refuse_push(&self, refusal: Refusal) -> AdmissionError {
+        match refusal {
+            Refusal::Late => {
+                let reason = "the deadline cannot be met because of the requests queued ahead";
+                self.refuse(ResultCode::QueueDeadline, reason)
+            }
+            Refusal::Full => self.refuse(ResultCode::QueueFull, "the waiting queue is full"),
         }
     }
 
