Measure refusals over the time of the rates that tighten a limit

Refusals of the last second were compared with requests of the last 250 ms, so a limit stayed tight after a burst.

--- a/crates/forward/src/admission.rs
+++ b/crates/forward/src/admission.rs
@@ -21,7 +21,7 @@
 pub use demand::{Attempt, OPENING_LIFETIME};
 pub use held::{HeldKind, HeldRequest, Joined};
 pub use limit::{Capacity, LimitChange};
-use limit::{Limiter, REFRESH_INTERVAL};
+use limit::{Limiter, RECENT_WINDOW, REFRESH_INTERVAL};
 use shares::ZoneShares;
 pub use shares::{OfferedLoad, PeerDemands, ZoneDemand};
 pub use work::WorkTimes;
@@ -32,9 +32,6 @@
 const HELD_BYTES: usize = 1_500_000;
 /// Time over which offered and admitted rates are averaged.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
-/// Time over which the rates are averaged that decide how tight a limit is. Short, so that a limit
-/// loosens soon after a burst.
-const RECENT_WINDOW: Duration = Duration::from_millis(250);
 /// Interval at which the next held request is compared with the free slots of targets, if no request
 /// in flight ends.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/forward/src/admission/limit.rs
+++ b/crates/forward/src/admission/limit.rs
@@ -9,6 +9,9 @@
 
 /// Interval between two updates of the limits.
 pub const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time over which the rates are averaged that decide how tight a limit is. Short, so that a limit
+/// loosens soon after a burst.
+pub const RECENT_WINDOW: Duration = Duration::from_millis(250);
 /// Requests in flight per slot: one that runs, and 1.5 that wait or are on the path between instance
 /// and target, so that no slot idles.
 const DEPTH: f64 = 2.5;
@@ -31,7 +34,7 @@
 /// busy. They also have to exceed its part of [`LOOSE_DEPTH`].
 const SURGE_DEVIATIONS: f64 = 3.0;
 /// Requests in flight of this instance below which they show nothing about the targets.
-const MIN_SURGE: f64 = 4.0;
+const MIN_SURGE: f64 = 8.0;
 /// Refusals per second by full targets from which a service is busy. Single ones occur by chance.
 const MIN_REFUSALS: f64 = 2.0;
 /// Share of refusals among all requests from which a service is busy.
@@ -72,6 +75,8 @@
     /// requests admit a second one.
     credit: f64,
     refusals: RateMeter,
+    /// The same over [`RECENT_WINDOW`].
+    recent_refusals: RateMeter,
     /// When the targets were last busy.
     busy_at: Millis,
     /// Requests in flight per slot of the service.
@@ -88,6 +93,7 @@
             limit: None,
             credit: 0.0,
             refusals: RateMeter::new(Duration::from_secs(1)),
+            recent_refusals: RateMeter::new(RECENT_WINDOW),
             busy_at: Millis::default(),
             ratio: 0.0,
             surge: f64::INFINITY,
@@ -137,10 +143,11 @@
     /// Records that a full target refused a request.
     pub fn record_refusal(&mut self, now: Millis) {
         self.refusals.add(1.0, now);
+        self.recent_refusals.add(1.0, now);
     }
 
     /// Updates the limit. `fraction` is the part of the capacity to which this instance is entitled,
-    /// `own` the rates of its requests, of which `running` are in flight and `waiting` held.
+    /// `own` the rates of its requests over [`RECENT_WINDOW`], of which `running` are in flight and `waiting` held.
     pub fn update(
         &mut self,
         capacity: Capacity,
@@ -159,7 +166,7 @@
         let surge = expected + SURGE_DEVIATIONS * expected.sqrt();
         let loose = capacity.slots * LOOSE_DEPTH * fraction;
         self.surge = surge.max(loose).max(MIN_SURGE);
-        if self.is_busy(capacity, running, own.admitted, now) {
+        if self.is_busy(capacity, running, own, now) {
             self.busy_at = now;
         } else if now.since(self.busy_at) >= LIMIT_LIFETIME || capacity.slots <= 0.0 {
             self.limit = None;
@@ -171,11 +178,7 @@
         if running >= self.surge {
             self.surged = now;
         }
-        let refused = if own.admitted > 0.0 {
-            self.refusals.per_second(now) / own.admitted
-        } else {
-            0.0
-        };
+        let refused = self.refused_share(own, now);
         let depth = if now.since(self.surged) < SURGE_TIME {
             DEPTH
         } else {
@@ -184,10 +187,18 @@
         self.limit = Some((slots * depth).max(1.0));
     }
 
-    fn is_busy(&self, capacity: Capacity, running: f64, admitted: f64, now: Millis) -> bool {
+    /// Returns the share of refused requests.
+    fn refused_share(&self, own: OfferedLoad, now: Millis) -> f64 {
+        if own.admitted <= 0.0 {
+            return 0.0;
+        }
+        self.recent_refusals.per_second(now) / own.admitted
+    }
+
+    fn is_busy(&self, capacity: Capacity, running: f64, own: OfferedLoad, now: Millis) -> bool {
         let surge = running >= self.surge;
-        let refusals = self.refusals.per_second(now);
-        let refused = refusals >= MIN_REFUSALS && refusals >= admitted * REFUSAL_SHARE;
+        let refused = self.refusals.per_second(now) >= MIN_REFUSALS
+            && self.refused_share(own, now) >= REFUSAL_SHARE;
         let used = running > 0.0 && capacity.slots > 0.0;
         used && (self.ratio >= BUSY_DEPTH || surge || refused)
     }
