--- a/crates/forward/src/warmup_rate.rs
+++ b/crates/forward/src/warmup_rate.rs
@@ -105,7 +105,7 @@
         found.map_or(WarmupRate::NONE, |r| r.rate)
     }
 
-    /// Returns whether any service publishes a rate.
+    /// Returns whether no service publishes a rate.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.rates.iter().all(|r| r.rate.is_none())
