Compare targets of the zone in one function, without collecting them

Granted cold targets and those of the zone were compared by twin functions, and each choice collected its candidates into up to three vectors. Choices are the same.

--- a/crates/forward/src/placement/choose.rs
+++ b/crates/forward/src/placement/choose.rs
@@ -95,8 +95,8 @@
     pub fn choose(&mut self, subset: Subset) -> Option<Decision> {
         let mut best = self.best_of_subset(subset);
         if best.is_none_or(|b| self.is_insufficient(&b)) {
-            best = self.compare_granted(best);
-            best = self.compare_zone(best);
+            best = self.compare_near(best, self.granted);
+            best = self.compare_near(best, self.targets.zone(self.seen.zone));
         }
         if best.is_none_or(|b| b.whole_wait > ZONE_PREFERENCE || b.is_full()) {
             best = self.compare_other_zones(best);
@@ -125,28 +125,19 @@
         let positions = index::sample(self.rng, count, count.min(SUBSET_SAMPLE));
         let members = positions.into_iter().map(|position| subset.get(position));
         let members = members.filter(|(_, share)| Subset::is_relevant(*share));
-        let members: Vec<_> = members.collect();
-        let estimates = members
-            .into_iter()
-            .filter_map(|(index, share)| self.estimate(zone[index], Origin::Subset(share)));
-        least(estimates.collect())
+        let estimates =
+            members.filter_map(|(index, share)| self.estimate(zone[index], Origin::Subset(share)));
+        least(estimates)
     }
 
-    /// Compares some cold targets that need a grant and have one with the best one so far.
-    fn compare_granted(&mut self, best: Option<Estimate>) -> Option<Estimate> {
-        if self.granted.is_empty() {
-            return best;
-        }
-        let work = self.speeds.work(self.service);
-        let found = self.sample(self.granted, Origin::Zone);
-        better(best, found, SUBSET_PREFERENCE * work)
-    }
-
-    /// Compares some targets of the zone with the best one so far.
-    fn compare_zone(&mut self, best: Option<Estimate>) -> Option<Estimate> {
+    /// Compares some of the zone's targets with the best one so far.
+    fn compare_near(
+        &mut self,
+        best: Option<Estimate>,
+        targets: &[TargetNumber],
+    ) -> Option<Estimate> {
         let work = self.speeds.work(self.service);
-        let zone = self.targets.zone(self.seen.zone);
-        let found = self.sample(zone, Origin::Zone);
+        let found = self.sample(targets, Origin::Zone);
         better(best, found, SUBSET_PREFERENCE * work)
     }
 
@@ -170,16 +161,17 @@
             Origin::Subset(_) | Origin::Zone => WIDER_SAMPLE,
         };
         let drawn = index::sample(self.rng, targets.len(), targets.len().min(count));
-        let is_wanted = |n: &TargetNumber| origin == Origin::Zone || !self.is_near(*n);
-        let drawn = drawn.into_iter().map(|i| targets[i]).filter(is_wanted);
-        let drawn: Vec<_> = drawn.take(WIDER_SAMPLE).collect();
-        let estimates = drawn.into_iter().filter_map(|n| self.estimate(n, origin));
-        least(estimates.collect())
-    }
-
-    fn is_near(&self, number: TargetNumber) -> bool {
-        let entry = self.seen.view.get(number);
-        entry.is_some_and(|e| e.target.zone == *self.seen.zone)
+        let seen = self.seen;
+        let is_near = |n: &TargetNumber| {
+            let entry = seen.view.get(*n);
+            entry.is_some_and(|e| e.target.zone == *seen.zone)
+        };
+        let drawn = drawn.into_iter().map(|i| targets[i]);
+        let wanted = drawn.filter(|n| origin == Origin::Zone || !is_near(n));
+        let estimates = wanted
+            .take(WIDER_SAMPLE)
+            .filter_map(|n| self.estimate(n, origin));
+        least(estimates)
     }
 
     /// Estimates the load of a target, or returns `None` if it is not usable.
@@ -243,11 +235,11 @@
     }
 }
 
-fn least(estimates: Vec<Estimate>) -> Option<Estimate> {
+fn least(estimates: impl Iterator<Item = Estimate>) -> Option<Estimate> {
     // A full or cold target is chosen only if all others are so, too.
     let key = |e: &Estimate| (e.is_full(), e.cold);
     let order = |a: &Estimate, b: &Estimate| key(a).cmp(&key(b)).then(a.rank.total_cmp(&b.rank));
-    estimates.into_iter().min_by(order)
+    estimates.min_by(order)
 }
 
 /// Returns the target with the shorter wait, the first one unless the difference exceeds `margin`
