Ask in one place whether a target takes new flows

The same conditions stood in the index of candidates, the grants for cold targets, the reason of a reset and the corrections of half-open connections. Behaviour is the same. Tests of tanager-forward pass.

--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -16,7 +16,7 @@
 use crate::view::{Evidence, TargetEntry};
 use crate::{
     Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Liveness, Segment,
-    SegmentKind, TargetNumber, TargetState,
+    SegmentKind, TargetNumber,
 };
 
 /// Maximum number of messages to peers between two calls of [`Forwarder::take_messages`].
@@ -289,9 +289,7 @@
             let evacuation = self.view.evacuation(&e.target.zone);
             evacuation.is_none_or(|e| now.since(e.since) < EVACUATION_GRACE)
         };
-        let usable = entries
-            .filter(|e| e.removed.is_none() && e.target.state == TargetState::Ready)
-            .filter(takes_openings);
+        let usable = entries.filter(|e| e.accepts_flows()).filter(takes_openings);
         let usable: Vec<_> = usable.map(|e| e.target.number).collect();
         let packet = half_open.packet.clone();
         let before = self.corrections.len();
--- a/crates/forward/src/forwarder/warmup.rs
+++ b/crates/forward/src/forwarder/warmup.rs
@@ -7,8 +7,8 @@
 use super::Forwarder;
 use crate::placement::cold::is_limited;
 use crate::{
-    ColdTarget, Cookie, DropReason, Event, Forward, ResetReason, TargetNumber, TargetState,
-    WarmupBounds, WarmupMessage, ZoneStanding,
+    ColdTarget, Cookie, DropReason, Event, Forward, ResetReason, TargetNumber, WarmupBounds,
+    WarmupMessage, ZoneStanding,
 };
 
 impl Forwarder {
@@ -49,9 +49,7 @@
             return Vec::new();
         }
         let limited = self.view.published().filter(|e| {
-            e.target.zone == self.zone
-                && e.target.state == TargetState::Ready
-                && is_limited(e, &self.view, now)
+            e.target.zone == self.zone && e.accepts_flows() && is_limited(e, &self.view, now)
         });
         let mut cold: Vec<_> = limited
             .map(|e| ColdTarget {
@@ -78,8 +76,7 @@
     pub(super) fn no_target_reason(&self, service: &PublishedService, now: Millis) -> ResetReason {
         let withheld = self.view.published().any(|e| {
             e.target.service == *service
-                && e.target.state == TargetState::Ready
-                && self.view.evacuation(&e.target.zone).is_none()
+                && self.view.takes_flows(e)
                 && is_limited(e, &self.view, now)
         });
         if withheld {
--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -23,7 +23,7 @@
 use crate::membership::RingPoint;
 use crate::view::{TargetEntry, View};
 use crate::{Liveness, TargetNumber, WarmupLimiter};
-use candidates::{Candidates, accepts_flows, is_cold};
+use candidates::{Candidates, is_cold};
 use choose::SubsetChoice;
 use cold::is_limited;
 use speed::{Observation, Speeds};
@@ -95,6 +95,10 @@
             .liveness(entry.target.number, self.health, self.now)
     }
 
+    fn is_failing(&self, target: TargetNumber) -> bool {
+        self.health.failure_rate(target, self.now) > FAILING_RATE
+    }
+
     fn is_refusing(&self, target: TargetNumber) -> bool {
         self.health.is_refusing(target, self.now)
     }
@@ -102,10 +106,8 @@
     /// Returns the cold targets of a service with a rate to which a flow may be opened now.
     fn granted(&self, service: &PublishedService) -> Vec<TargetNumber> {
         let is_usable = |entry: &TargetEntry| {
-            let evacuated = self.view.evacuation(&entry.target.zone).is_some();
             entry.target.service == *service
-                && accepts_flows(entry)
-                && !evacuated
+                && self.view.takes_flows(entry)
                 && is_limited(entry, self.view, self.now)
         };
         let allowed = self.warmup.allowed(self.now);
@@ -119,9 +121,8 @@
 
     /// Returns what all instances have seen of a target, unless it is cold or failing.
     fn observe(&self, target: TargetNumber) -> Option<Observation> {
-        let entry = self.view.get(target).filter(|e| accepts_flows(e))?;
-        let failing = self.health.failure_rate(target, self.now) > FAILING_RATE;
-        if failing || is_cold(entry, self) {
+        let entry = self.view.get(target).filter(|e| e.accepts_flows())?;
+        if self.is_failing(target) || is_cold(entry, self) {
             return None;
         }
         Some(Observation {
--- a/crates/forward/src/placement/candidates.rs
+++ b/crates/forward/src/placement/candidates.rs
@@ -6,21 +6,14 @@
 
 use super::Observations;
 use super::cold::is_limited;
-use crate::health::FAILING_RATE;
 use crate::view::{TargetEntry, View};
-use crate::{Liveness, TargetNumber, TargetState};
-
-/// Returns whether a target may get new flows at all.
-pub(super) fn accepts_flows(entry: &TargetEntry) -> bool {
-    entry.removed.is_none() && entry.target.state == TargetState::Ready
-}
+use crate::{Liveness, TargetNumber};
 
 /// Returns whether nothing speaks against a target apart from its load.
 pub(super) fn is_healthy(entry: &TargetEntry, seen: &Observations<'_>) -> bool {
-    let number = entry.target.number;
-    accepts_flows(entry)
-        && seen.liveness.liveness(number, seen.health, seen.now) == Liveness::Sound
-        && seen.health.failure_rate(number, seen.now) <= FAILING_RATE
+    entry.accepts_flows()
+        && seen.liveness_of(entry) == Liveness::Sound
+        && !seen.is_failing(entry.target.number)
 }
 
 /// Returns whether a target is still warming up, or its zone has just come back from an evacuation.
@@ -66,11 +59,7 @@
         self.generation = Some(view.generation());
         self.next_warm = None;
         self.services.clear();
-        let evacuated = |e: &&TargetEntry| view.evacuation(&e.target.zone).is_some();
-        let open = view
-            .published()
-            .filter(|e| accepts_flows(e) && !evacuated(e));
-        for entry in open {
+        for entry in view.published().filter(|e| view.takes_flows(e)) {
             let target = &entry.target;
             if !self.services.contains_key(&target.service) {
                 let empty = ServiceTargets::default();
--- a/crates/forward/src/placement/explain.rs
+++ b/crates/forward/src/placement/explain.rs
@@ -3,9 +3,8 @@
 use rand::rngs::StdRng;
 use tanager_core::PublishedService;
 
-use super::candidates::{Candidates, accepts_flows};
+use super::candidates::Candidates;
 use super::{Choice, Examined, Observations, Placement, sample};
-use crate::health::FAILING_RATE;
 use crate::placement::cold::is_limited;
 use crate::view::TargetEntry;
 use crate::{Candidate, Exclusion, TargetNumber};
@@ -60,7 +59,7 @@
             load: sample::load(seen, entry, mean_flows),
             wait_ms: self.expected_wait(seen, entry) * 1_000.0,
             liveness: seen.liveness_of(entry).to_string(),
-            failing: seen.health.failure_rate(number, seen.now) > FAILING_RATE,
+            failing: seen.is_failing(number),
             refusing: seen.is_refusing(number),
             compared: compared.contains(&number),
             excluded: seen.exclusion(entry),
@@ -81,7 +80,7 @@
     /// Returns why a target cannot be chosen at all.
     fn exclusion(&self, entry: &TargetEntry) -> Option<Exclusion> {
         let target = &entry.target;
-        if !accepts_flows(entry) {
+        if !entry.accepts_flows() {
             return Some(Exclusion::Draining);
         }
         if self.view.evacuation(&target.zone).is_some() {
--- a/crates/forward/src/placement/sample.rs
+++ b/crates/forward/src/placement/sample.rs
@@ -4,7 +4,7 @@
 use rand::rngs::StdRng;
 use rand::seq::index;
 
-use super::candidates::{ServiceTargets, accepts_flows, is_cold};
+use super::candidates::{ServiceTargets, is_cold};
 use super::{Choice, Examined, FLOW_DEMAND, Observations, WARMUP_FACTOR, WARMUP_PENALTY};
 use crate::health::FAILING_RATE;
 use crate::view::TargetEntry;
@@ -84,7 +84,7 @@
     let drawn = index::sample(rng, count, count.min(MAX_DRAWS));
     let number = |i: usize| targets.get(i).or_else(|| granted.get(i - targets.len()));
     let entries = drawn.into_iter().filter_map(|i| seen.view.get(*number(i)?));
-    entries.filter(|e| accepts_flows(e)).collect()
+    entries.filter(|e| e.accepts_flows()).collect()
 }
 
 /// Returns the mean number of flows of targets that were drawn.
--- a/crates/forward/src/view.rs
+++ b/crates/forward/src/view.rs
@@ -40,6 +40,12 @@
         self.removed.is_some() && self.target.state == TargetState::Draining
     }
 
+    /// Returns whether the target takes new flows, unless its zone is evacuated.
+    #[must_use]
+    pub fn accepts_flows(&self) -> bool {
+        self.removed.is_none() && self.target.state == TargetState::Ready
+    }
+
     /// Returns the remaining warm-up time of the target after its start.
     #[must_use]
     pub fn warmup(&self, now: Millis) -> Duration {
--- a/crates/forward/src/view/evacuation.rs
+++ b/crates/forward/src/view/evacuation.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tanager_core::{FastMap, FastSet, Millis, PublishedZone};
 
-use super::{RETENTION, View};
+use super::{RETENTION, TargetEntry, View};
 use crate::StoreRevision;
 
 /// Time after the end of an evacuation for which the zone's targets are ramped up.
@@ -134,6 +134,12 @@
         entry.ended.is_none().then_some(entry)
     }
 
+    /// Returns whether new flows may be opened to a target.
+    #[must_use]
+    pub fn takes_flows(&self, entry: &TargetEntry) -> bool {
+        entry.accepts_flows() && self.evacuation(&entry.target.zone).is_none()
+    }
+
     /// Returns whether the evacuation of a zone ended so recently that instances with outdated loads
     /// would all choose its idle targets.
     #[must_use]
