Share the stable hash, and the members of a zone and their order

Subsets and positions repeated the hash of flows, and the same filter of a zone's members stood in six places, with two copies of the order in which hubs are chosen. The highest ranked member is now found without sorting all. Tests of tanager-forward pass.

--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod flow_message;
 mod flows;
 mod forwarder;
+mod hash;
 mod health;
 mod held;
 mod liveness;
--- a/crates/forward/src/membership.rs
+++ b/crates/forward/src/membership.rs
@@ -217,10 +217,19 @@
             .filter(move |(_, m)| !m.leaving && now.since(m.last_seen) <= MEMBER_TIMEOUT)
     }
 
+    /// Returns the active instances of a zone, without this one.
+    fn zone_members(
+        &self,
+        zone: u8,
+        now: Millis,
+    ) -> impl Iterator<Item = (&SocketAddrV4, &Member)> {
+        self.active(now).filter(move |(_, m)| m.zone == zone)
+    }
+
     /// Returns what this instance knows of its own zone.
     #[must_use]
     pub fn zone_standing(&self, now: Millis) -> ZoneStanding {
-        let zone = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
+        let zone = self.zone_members(self.own.zone, now);
         let heard = |m: &Member| {
             let direct = m.direct.as_ref();
             direct.is_some_and(|d| now.since(d.last_seen) <= MEMBER_TIMEOUT)
@@ -252,8 +261,8 @@
     fn zone_hub(&self, now: Millis) -> SocketAddrV4 {
         let own_rank = rank(self.own.address, self.own.capacity);
         let own = (self.store_reachable, own_rank, self.own.address);
-        let zone = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
-        let others = zone.map(|(a, m)| (m.store_reachable, rank(*a, m.capacity), *a));
+        let zone = self.zone_members(self.own.zone, now);
+        let others = zone.map(|(address, m)| precedence(*address, m));
         let highest = others.max().unwrap_or(own);
         // The others of the zone no longer choose an instance that is leaving.
         if self.leaving {
@@ -330,6 +339,12 @@
     }
 }
 
+/// Returns the key by which the members of a zone are ranked: those that can read the store first.
+fn precedence(address: SocketAddrV4, member: &Member) -> (bool, (u16, u32), SocketAddrV4) {
+    let rank = rank(address, member.capacity);
+    (member.store_reachable, rank, address)
+}
+
 /// Returns the rank of an instance: larger ones are higher, and a hash of the address breaks ties.
 fn rank(address: SocketAddrV4, capacity: u16) -> (u16, u32) {
     let hash = u32::from(*address.ip()).wrapping_mul(0x9e37_79b1);
--- a/crates/forward/src/membership/outgoing.rs
+++ b/crates/forward/src/membership/outgoing.rs
@@ -6,7 +6,7 @@
 use tanager_core::Millis;
 
 use super::parts::MAX_PARTS;
-use super::{Member, Membership, Role, rank};
+use super::{Member, Membership, Role, precedence};
 use crate::{Beacon, LoadReport, MemberReport, ViewVersion};
 
 /// Members of each other zone that a beacon lists at most, so that hubs discover each other.
@@ -78,7 +78,7 @@
     }
 
     fn hub_recipients(&self, now: Millis) -> Vec<SocketAddrV4> {
-        let own = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
+        let own = self.zone_members(self.own.zone, now);
         let mut recipients: Vec<_> = own.map(|(address, _)| *address).collect();
         for zone in self.foreign_zones(now) {
             recipients.extend(self.preferred_hub(zone, now));
@@ -96,19 +96,18 @@
 
     /// Returns the highest ranked members of a zone, those that can read the store first.
     fn highest_ranked(&self, zone: u8, count: usize, now: Millis) -> Vec<(SocketAddrV4, &Member)> {
-        let members = self.active(now).filter(|(_, m)| m.zone == zone);
+        let members = self.zone_members(zone, now);
         let mut ranked: Vec<_> = members.map(|(address, m)| (*address, m)).collect();
-        ranked.sort_unstable_by_key(|(address, m)| {
-            std::cmp::Reverse((m.store_reachable, rank(*address, m.capacity), *address))
-        });
+        ranked.sort_unstable_by_key(|(address, m)| std::cmp::Reverse(precedence(*address, m)));
         ranked.truncate(count);
         ranked
     }
 
     /// Returns the highest ranked member of a zone, which normally is its hub.
     fn preferred_hub(&self, zone: u8, now: Millis) -> Option<SocketAddrV4> {
-        let members = self.highest_ranked(zone, 1, now);
-        members.first().map(|(address, _)| *address)
+        let members = self.zone_members(zone, now);
+        let highest = members.map(|(address, m)| precedence(*address, m)).max();
+        highest.map(|(_, _, address)| address)
     }
 
     /// Returns the members that a beacon lists.
@@ -187,7 +186,7 @@
 
     /// Returns the number of datagrams in which a hub reports loads to each receiver in a round.
     fn max_parts(&self, now: Millis) -> usize {
-        let zone = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
+        let zone = self.zone_members(self.own.zone, now);
         let parts = ZONE_DATAGRAMS.checked_div(zone.count());
         parts.unwrap_or(MAX_PARTS).clamp(MIN_PARTS, MAX_PARTS)
     }
--- a/crates/forward/src/membership/position.rs
+++ b/crates/forward/src/membership/position.rs
@@ -1,13 +1,13 @@
 //! Positions of the instances in their availability zone, from which each derives its subset of
 //! the targets.
 
-use std::hash::{BuildHasher as _, BuildHasherDefault, DefaultHasher};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use tanager_core::Millis;
 
 use super::{Membership, Role, rank};
+use crate::hash::hash_fraction;
 use crate::{Beacon, ZonePosition};
 
 /// Time for which a position told by a hub is used without another one.
@@ -71,7 +71,7 @@
     /// Returns the positions of this instance and the members of its zone.
     #[must_use]
     pub fn zone_positions(&self, now: Millis) -> ZonePositions {
-        let zone = self.active(now).filter(|(_, m)| m.zone == self.own.zone);
+        let zone = self.zone_members(self.own.zone, now);
         let mut addresses: Vec<_> = zone.map(|(address, _)| *address).collect();
         if !self.leaving {
             addresses.push(self.own.address);
@@ -116,10 +116,8 @@
     }
 
     fn hashed_point(&self, positions: &ZonePositions) -> RingPoint {
-        let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one(self.own.address);
-        let hash = u32::try_from(hash >> 32).unwrap_or(0);
         RingPoint {
-            point: f64::from(hash) / (f64::from(u32::MAX) + 1.0),
+            point: hash_fraction(self.own.address),
             instances: u16::try_from(positions.0.len()).unwrap_or(u16::MAX).max(1),
         }
     }
--- a/crates/forward/src/placement/subset.rs
+++ b/crates/forward/src/placement/subset.rs
@@ -6,10 +6,9 @@
 //! its place on. A target at an end of a subset counts only with the part that lies inside, so that
 //! the instances together cover all targets evenly.
 
-use std::hash::{BuildHasher as _, BuildHasherDefault, DefaultHasher};
-
 use tanager_core::PublishedService;
 
+use crate::hash::hash_fraction;
 use crate::membership::RingPoint;
 
 /// Minimum number of targets in a subset.
@@ -81,9 +80,7 @@
 /// Returns the rotation of a service's ring, as a fraction of it. Without it, an instance between two
 /// others would be so for all services.
 fn rotation(service: &PublishedService) -> f64 {
-    let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one(service);
-    let hash = u32::try_from(hash >> 32).unwrap_or(0);
-    f64::from(hash) / (f64::from(u32::MAX) + 1.0)
+    hash_fraction(service)
 }
 
 #[cfg(test)]
--- a/crates/forward/src/segment.rs
+++ b/crates/forward/src/segment.rs
@@ -1,7 +1,6 @@
 //! The parts of a client's packet that decisions depend on.
 
 use std::fmt;
-use std::hash::{BuildHasher as _, BuildHasherDefault, DefaultHasher};
 use std::net::SocketAddrV4;
 use std::str::FromStr;
 
@@ -9,6 +8,7 @@
 use tanager_core::Error;
 
 use crate::Cookie;
+use crate::hash::stable_hash;
 
 /// Address and port of one end of a flow.
 pub type Endpoint = SocketAddrV4;
@@ -26,8 +26,7 @@
     /// Returns a hash that distributes flows evenly and is the same on every instance.
     #[must_use]
     pub fn distribution_hash(&self) -> u32 {
-        let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one(self);
-        u32::try_from(hash >> 32).unwrap_or(0)
+        stable_hash(self)
     }
 }
 
