--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -229,8 +229,8 @@
         let slots = f64::from(entry.target.slots);
         let load = seen.loads.get(target, seen.now);
         let waiting = (load.running + load.others - slots).max(slots);
-        let work = self.speeds.work(&entry.target.service) / self.speeds.get(target);
-        let time = Duration::try_from_secs_f64(waiting * work / slots);
+        let request_time = self.speeds.request_time(&entry.target.service, target);
+        let time = Duration::try_from_secs_f64(waiting * request_time / slots);
         time.unwrap_or(QUEUE_TIME.1)
             .clamp(QUEUE_TIME.0, QUEUE_TIME.1)
     }
@@ -245,10 +245,10 @@
         let load = seen.loads.get(target, seen.now);
         let tally = seen.health.tally(target, seen.now);
         let on_the_way = tally.rate() * self.speeds.transit(service);
-        let work = self.speeds.work(service) / self.speeds.get(target);
+        let request_time = self.speeds.request_time(service, target);
         Usage {
             running: (load.running + load.others - on_the_way).max(0.0) / slots,
-            busy: tally.sound_rate() * work / slots,
+            busy: tally.sound_rate() * request_time / slots,
         }
     }
 
--- a/crates/forward/src/placement/choose.rs
+++ b/crates/forward/src/placement/choose.rs
@@ -198,7 +198,7 @@
         let seen = self.seen.loads.get(number, self.seen.now);
         let (own, others) = self.running(number);
         // Time in seconds for which one more request keeps the target busy.
-        let time = self.speeds.work(self.service) / (self.speeds.get(number) * slots);
+        let time = self.speeds.request_time(self.service, number) / slots;
         let cold = is_cold(entry, self.seen);
         let wait = |running: f64| {
             let wait = (running + 1.0 - slots).max(0.0) * time;
--- a/crates/forward/src/placement/explain.rs
+++ b/crates/forward/src/placement/explain.rs
@@ -71,7 +71,7 @@
         let target = &entry.target;
         let slots = f64::from(target.slots);
         let running = self.usage(seen, target.number).running * slots;
-        let time = self.speeds.work(&target.service) / (self.speeds.get(target.number) * slots);
+        let time = self.speeds.request_time(&target.service, target.number) / slots;
         (running + 1.0 - slots).max(0.0) * time
     }
 }
--- a/crates/forward/src/placement/speed.rs
+++ b/crates/forward/src/placement/speed.rs
@@ -105,6 +105,11 @@
         work.unwrap_or_else(|| DEFAULT_WORK.as_secs_f64())
     }
 
+    /// Returns the time in seconds for which a request keeps a slot of a target busy.
+    pub fn request_time(&self, service: &PublishedService, target: TargetNumber) -> f64 {
+        self.work(service) / self.get(target)
+    }
+
     /// Returns the time in seconds for which a request is in flight without keeping a slot busy.
     pub fn transit(&self, service: &PublishedService) -> f64 {
         self.services.get(service).map_or(0.0, |s| s.transit)
