Write the explanation of a decision with the pages' own JSON function

The page repeated what json() does, for which tanager-forwarder depended on serde_json. Its content type is application/json now, as that of /status; tanagerctl reads both. Tests of tanager-forwarder pass.

--- a/crates/forwarder/src/pages.rs
+++ b/crates/forwarder/src/pages.rs
@@ -145,13 +145,7 @@
     };
     let now = instance.now();
     let explanation = instance.forwarder.borrow().explain(&flow, now);
-    match serde_json::to_string_pretty(&explanation) {
-        Ok(body) => text(StatusCode::OK, body + "\n"),
-        Err(error) => {
-            warn!(instance.reporter.log, "[status] no explanation"; "error" => %error);
-            text(StatusCode::INTERNAL_SERVER_ERROR, "no explanation\n")
-        }
-    }
+    json(&explanation)
 }
 
 /// Parses the flow in the query of a request, which may be percent-encoded.
