Send datagrams to other instances in one function

Beacons, messages about flows and grants each had a copy of the call, its counter and its log line, and the sending of beacons had two loops for those that differ between receivers and those that do not. Tests of tanager-forwarder pass.

--- a/crates/forwarder/src/flow_messages.rs
+++ b/crates/forwarder/src/flow_messages.rs
@@ -5,6 +5,7 @@
 use tanager_forward::{FlowDatagram, FlowMessage};
 use tokio::net::UdpSocket;
 
+use crate::datagram::send_datagram;
 use crate::instance::Instance;
 
 /// The first bytes of a datagram with a message about a flow. Read as a beacon, they are an invalid
@@ -86,19 +87,15 @@
     datagram: &FlowDatagram,
     receivers: impl Iterator<Item = SocketAddrV4>,
 ) {
-    let log = &instance.reporter.log;
     let bytes = match postcard::to_extend(datagram, PREFIX.to_vec()) {
         Ok(bytes) => bytes,
         Err(error) => {
-            slog::warn!(log, "[peer] message not written"; "error" => %error);
+            slog::warn!(instance.reporter.log, "[peer] message not written"; "error" => %error);
             return;
         }
     };
+    let sent = &instance.reporter.counters.flow_messages_sent;
     for to in receivers {
-        match socket.try_send_to(&bytes, to.into()) {
-            Ok(_) => instance.reporter.counters.flow_messages_sent.increment(),
-            // A lookup that no peer answers ends after its time-out.
-            Err(error) => slog::debug!(log, "[peer] send failed"; "error" => %error),
-        }
+        send_datagram(socket, instance, &bytes, to, sent);
     }
 }
--- a/crates/forwarder/src/grants.rs
+++ b/crates/forwarder/src/grants.rs
@@ -5,6 +5,7 @@
 use tanager_forward::WarmupMessage;
 use tokio::net::UdpSocket;
 
+use crate::datagram::send_datagram;
 use crate::instance::Instance;
 
 /// The first bytes of a datagram with a message about grants. Read as a beacon, they are an invalid
@@ -50,17 +51,13 @@
 }
 
 fn send(socket: &UdpSocket, instance: &Instance, message: &WarmupMessage, to: SocketAddrV4) {
-    let log = &instance.reporter.log;
     let bytes = match postcard::to_extend(message, PREFIX.to_vec()) {
         Ok(bytes) => bytes,
         Err(error) => {
-            slog::warn!(log, "[peer] grant not written"; "error" => %error);
+            slog::warn!(instance.reporter.log, "[peer] grant not written"; "error" => %error);
             return;
         }
     };
-    match socket.try_send_to(&bytes, to.into()) {
-        Ok(_) => instance.reporter.counters.grant_messages_sent.increment(),
-        // Grants that are not renewed end.
-        Err(error) => slog::debug!(log, "[peer] send failed"; "error" => %error),
-    }
+    let sent = &instance.reporter.counters.grant_messages_sent;
+    send_datagram(socket, instance, &bytes, to, sent);
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -5,6 +5,7 @@
 //! packets, [`Source`] reads the published targets and routes. All tasks run on one thread.
 
 mod clients;
+mod datagram;
 mod error;
 mod flow_messages;
 #[cfg(test)]
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::datagram::send_datagram;
 use crate::http::HttpClient;
 use crate::instance::Instance;
 use crate::{Error, Result};
@@ -119,20 +120,20 @@
     let beacons = membership.beacons(*first, role, view, &loads, now);
     let positions = (role == Role::Hub).then(|| membership.zone_positions(now));
     drop(membership);
+    let sent = &instance.reporter.counters.beacons_sent;
     for mut beacon in beacons {
-        if !beacon.hub || beacon.load_part.index > 0 {
+        // The first beacon of a hub's round tells each receiver its position.
+        let differs = beacon.hub && beacon.load_part.index == 0;
+        let group_size = if differs { 1 } else { receivers.len() };
+        for group in receivers.chunks(group_size) {
+            if differs {
+                beacon.position = positions.as_ref().and_then(|p| p.get(group[0]));
+            }
             let Some(bytes) = encode(&beacon, instance) else {
                 return;
             };
-            for to in receivers {
-                send_datagram(socket, instance, &bytes, *to);
-            }
-            continue;
-        }
-        for to in receivers {
-            beacon.position = positions.as_ref().and_then(|p| p.get(*to));
-            if let Some(bytes) = encode(&beacon, instance) {
-                send_datagram(socket, instance, &bytes, *to);
+            for to in group {
+                send_datagram(socket, instance, &bytes, *to, sent);
             }
         }
     }
@@ -146,15 +147,6 @@
     bytes.ok()
 }
 
-fn send_datagram(socket: &UdpSocket, instance: &Instance, bytes: &[u8], to: SocketAddrV4) {
-    match socket.try_send_to(bytes, to.into()) {
-        Ok(_) => instance.reporter.counters.beacons_sent.increment(),
-        Err(error) => {
-            slog::debug!(instance.reporter.log, "[peer] send failed"; "error" => %error);
-        }
-    }
-}
-
 fn handle_beacon(bytes: &[u8], socket: &UdpSocket, instance: &Instance) {
     let counters = &instance.reporter.counters;
     let beacon: Beacon = match postcard::from_bytes(bytes) {
