--- a/crates/standins/src/model/instances.rs
+++ b/crates/standins/src/model/instances.rs
@@ -6,8 +6,9 @@
 
 use tanager_core::{Incarnation, Millis, PublishedService, PublishedZone};
 use tanager_forward::{
-    Action, Beacon, Change, DueAction, Epoch, Forwarder, Membership, OwnInstance, Role, Route,
-    RouteTable, Segment, ServiceShare, StoreRevision, Target, TargetNumber, TargetState,
+    Action, Beacon, Change, DueAction, Epoch, EvacuationChange, Forwarder, Membership, OwnInstance,
+    Role, Route, RouteTable, Segment, ServiceShare, StoreRevision, Target, TargetNumber,
+    TargetState,
 };
 
 use super::baseline::Baseline;
@@ -15,7 +16,7 @@
 use super::targets::SLOTS;
 use super::{Settings, packet};
 
-/// The revision of all targets and routes; nothing changes during a simulation.
+/// The revision of all targets and routes. Only the evacuation of a zone has later ones.
 const REVISION: StoreRevision = StoreRevision::new(Epoch::new(0), 1);
 /// Time without packets after which a flow ends.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -134,10 +135,16 @@
         self.forwarder.next_due()
     }
 
-    /// Publishes the evacuation of a zone, or its end. The forwarder has no evacuations yet, so that
-    /// this has no effect so far.
-    #[expect(clippy::unused_self, reason = "see above")]
-    pub fn evacuate(&mut self, _zone: u8, _active: bool, _now: Millis) {}
+    /// Publishes the evacuation of a zone, or its end.
+    pub fn evacuate(&mut self, number: u8, active: bool, now: Millis) {
+        let changes = if active { 1 } else { 2 };
+        let change = EvacuationChange {
+            zone: zone(number),
+            revision: StoreRevision::new(REVISION.epoch, REVISION.number + changes),
+            ended: !active,
+        };
+        self.forwarder.apply_evacuation(change, now);
+    }
 
     /// Returns the beacons of one round with their recipients, and removes expired state.
     pub fn beacon_round(&mut self, now: Millis) -> Vec<(SocketAddrV4, Rc<Beacon>)> {
--- a/crates/standins/tests/model.rs
+++ b/crates/standins/tests/model.rs
@@ -6,7 +6,7 @@
 
 use load::simulate_sum;
 use tanager_standins::model::{
-    Burst, FEEDS, Policy, Report, Settings, Slowdown, long_flows, short_flows, simulate,
+    Burst, Evacuation, FEEDS, Policy, Report, Settings, Slowdown, long_flows, short_flows, simulate,
 };
 
 /// Time at which a burst begins or targets fail.
@@ -131,3 +131,23 @@
         assert!((served - in_time).abs() < 0.5, "{served}: {report}");
     }
 }
+
+/// Guards against openings that reach an evacuated zone, and against requests that fail although the
+/// other zones have room for them.
+#[test]
+fn an_evacuated_zone_gets_no_openings_and_no_request_fails() {
+    let settings = Settings {
+        length: Duration::from_secs(12),
+        evacuation: Some(Evacuation {
+            start: Duration::from_secs(2),
+            length: Duration::from_secs(8),
+            zone: 1,
+        }),
+        ..Settings::default()
+    };
+
+    let report = simulate_sum(&settings, SEEDS);
+
+    assert_eq!(report.evacuated_openings, 0, "{report}");
+    assert_eq!(report.sum().failed, 0, "{report}");
+}
