--- a/crates/forward/src/membership/parts.rs
+++ b/crates/forward/src/membership/parts.rs
@@ -30,10 +30,10 @@
 }
 
 impl LoadSender {
-    /// Returns the parts of the next round, in at most `max_parts` datagrams. `number` identifies it to
-    /// the receivers, and increases over all groups, since a receiver may change its group. If there is no room
-    /// for all loads, those of targets in trouble come first, then those not sent for 2 s, then
-    /// changed ones, and of these the ones that were sent longest ago.
+    /// Returns the parts of the next round, in at most `max_parts` datagrams. `number` identifies it
+    /// to the receivers, and increases over all groups, since a receiver may change its group. If
+    /// there is no room for all loads, those of targets in trouble come first, then those not sent
+    /// for 2 s, then changed ones, and of these the ones that were sent longest ago.
     pub fn next_round(
         &mut self,
         number: u16,
