--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -13,6 +13,7 @@
 mod grants;
 mod http;
 mod instance;
+mod metrics;
 mod pages;
 mod peers;
 mod reader;
--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -119,10 +119,10 @@
         Ok(changed)
     }
 
-    /// Starts or continues a full read: targets page by page, routes and evacuations concurrently. Each page is
-    /// applied when it arrives. The pages are no consistent snapshot, so the full read only counts
-    /// as complete as of its start. After a failed call, the next call of this method continues it.
-    /// Returns whether it was completed; `false` if a peer's view arrived first.
+    /// Starts or continues a full read: targets page by page, routes and evacuations concurrently.
+    /// Each page is applied when it arrives. The pages are no consistent snapshot, so the full read
+    /// only counts as complete as of its start. After a failed call, the next call of this method
+    /// continues it. Returns whether it was completed; `false` if a peer's view arrived first.
     async fn read_all(&mut self) -> Result<bool> {
         let now = self.instance.now();
         let mut full_read = self.full_read.take().unwrap_or_else(|| FullRead::new(now));
