--- a/crates/proxy/src/settings/forwarder.rs
+++ b/crates/proxy/src/settings/forwarder.rs
@@ -1,6 +1,7 @@
 //! Validated settings of an instance that forwards packets.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::ops::RangeInclusive;
 
 use tanager_core::{PublishedInstance, PublishedZone, ResultCode};
 
@@ -143,14 +144,12 @@
 
 /// Reads a number of cores, such as `0.055`, as thousandths of a core.
 fn check_capacity(section: &Section<'_>, checker: &mut Checker) -> Option<u16> {
-    let cores: f64 = section.parse(checker, "capacity")?;
-    if !(MIN_CAPACITY..=MAX_CAPACITY).contains(&cores) {
-        let message =
-            format!("{cores} is outside the range {MIN_CAPACITY} to {MAX_CAPACITY} cores");
-        let (path, span) = (section.path("capacity"), section.span_of("capacity"));
-        checker.report(ResultCode::ValueOutOfRange, &path, span, message);
-        return None;
-    }
+    let cores = parse_within(
+        section,
+        checker,
+        "capacity",
+        (MIN_CAPACITY..=MAX_CAPACITY, " cores"),
+    )?;
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -184,14 +183,25 @@
     if section.get(key).is_none() {
         return Some(default);
     }
+    parse_within(section, checker, key, (0.0..=MAX_WARMUP_VALUE, ""))
+}
+
+/// Reads a number and reports it if it is outside a range, which the message names with its unit.
+fn parse_within(
+    section: &Section<'_>,
+    checker: &mut Checker,
+    key: &str,
+    (range, unit): (RangeInclusive<f64>, &str),
+) -> Option<f64> {
     let value: f64 = section.parse(checker, key)?;
-    if !(0.0..=MAX_WARMUP_VALUE).contains(&value) {
-        let message = format!("{value} is outside the range 0 to {MAX_WARMUP_VALUE}");
-        let (path, span) = (section.path(key), section.span_of(key));
-        checker.report(ResultCode::ValueOutOfRange, &path, span, message);
-        return None;
+    if range.contains(&value) {
+        return Some(value);
     }
-    Some(value)
+    let (least, most) = (range.start(), range.end());
+    let message = format!("{value} is outside the range {least} to {most}{unit}");
+    let (path, span) = (section.path(key), section.span_of(key));
+    checker.report(ResultCode::ValueOutOfRange, &path, span, message);
+    None
 }
 
 fn check_listen(section: &Section<'_>, checker: &mut Checker) -> Option<[SocketAddrV4; 5]> {
