Build the result of a placement in one place

Both ways of choosing a target counted the candidates and those withheld from the same inputs. Choices are the same. Tests of tanager-forward pass.

--- a/crates/forward/src/placement.rs
+++ b/crates/forward/src/placement.rs
@@ -52,10 +52,12 @@
     pub examined: usize,
 }
 
-/// A choice and what it changes.
+/// The target for a flow.
 #[derive(Debug, Clone, Copy)]
-struct Decision {
-    choice: Choice,
+struct Pick {
+    target: TargetNumber,
+    /// As [`Choice::load`].
+    load: f64,
     /// By how much the flow moves the target's next turn, if the target was chosen by turns.
     cost: Option<f64>,
 }
@@ -167,15 +169,16 @@
     ) -> Option<Choice> {
         self.candidates.refresh(seen.view, seen.now);
         let mut examined = Examined::default();
-        let decision = self.decide(&self.candidates, seen, service, tried, rng, &mut examined)?;
-        let choice = decision.choice;
-        if let Some(cost) = decision.cost {
+        let (choice, cost) =
+            self.decide(&self.candidates, seen, service, tried, rng, &mut examined)?;
+        if let Some(cost) = cost {
             self.turns.take(service, choice.target, cost);
         }
         Some(choice)
     }
 
-    /// Decides without changing anything. `candidates` must be up to date.
+    /// Decides without changing anything. `candidates` must be up to date. Returns the choice, and
+    /// [`Pick::cost`].
     fn decide(
         &self,
         candidates: &Candidates,
@@ -184,7 +187,7 @@
         tried: &[TargetNumber],
         rng: &mut StdRng,
         examined: &mut Examined,
-    ) -> Option<Decision> {
+    ) -> Option<(Choice, Option<f64>)> {
         let targets = candidates.get(service)?;
         let granted = if targets.limited == 0 {
             Vec::new()
@@ -192,7 +195,8 @@
             seen.granted(service)
         };
         let zone_size = targets.zone(seen.zone).len();
-        if let Some(subset) = Subset::new(service, zone_size, self.ring) {
+        let subset = Subset::new(service, zone_size, self.ring);
+        let pick = subset.and_then(|subset| {
             let mut choice = SubsetChoice {
                 seen,
                 speeds: &self.speeds,
@@ -201,16 +205,21 @@
                 targets,
                 granted: &granted,
                 tried,
-                rng,
-                examined,
+                rng: &mut *rng,
+                examined: &mut *examined,
             };
-            let chosen = choice.choose(subset);
-            if chosen.is_some() {
-                return chosen;
-            }
-        }
-        let choice = sample::choose(seen, targets, &granted, tried, rng, examined)?;
-        Some(Decision { choice, cost: None })
+            choice.choose(subset)
+        });
+        let pick =
+            pick.or_else(|| sample::choose(seen, targets, &granted, tried, rng, examined))?;
+        let choice = Choice {
+            target: pick.target,
+            load: pick.load,
+            candidates: targets.all.len() + granted.len(),
+            withheld: targets.limited - granted.len(),
+            examined: examined.count,
+        };
+        Some((choice, pick.cost))
     }
 
     /// Updates the speeds of all targets. `opening_time` is the usual duration of openings.
--- a/crates/forward/src/placement/choose.rs
+++ b/crates/forward/src/placement/choose.rs
@@ -10,7 +10,7 @@
 use super::speed::Speeds;
 use super::subset::Subset;
 use super::turns::Turns;
-use super::{Choice, Decision, Examined, FLOW_DEMAND, Observations, WARMUP_FACTOR, WARMUP_PENALTY};
+use super::{Examined, FLOW_DEMAND, Observations, Pick, WARMUP_FACTOR, WARMUP_PENALTY};
 use crate::TargetNumber;
 use crate::view::TargetEntry;
 
@@ -92,7 +92,7 @@
 impl SubsetChoice<'_> {
     /// Chooses a target of the subset, or another one if all of them are unusable, full or cold, or
     /// have long waits. Returns `None` if no usable target was found.
-    pub fn choose(&mut self, subset: Subset) -> Option<Decision> {
+    pub fn choose(&mut self, subset: Subset) -> Option<Pick> {
         let mut best = self.best_of_subset(subset);
         if best.is_none_or(|b| self.is_insufficient(&b)) {
             best = self.compare_near(best, self.granted);
@@ -102,15 +102,9 @@
             best = self.compare_other_zones(best);
         }
         let best = best?;
-        let choice = Choice {
+        Some(Pick {
             target: best.target,
             load: best.load / self.speeds.get(best.target),
-            candidates: self.targets.all.len() + self.granted.len(),
-            withheld: self.targets.limited - self.granted.len(),
-            examined: self.examined.count,
-        };
-        Some(Decision {
-            choice,
             cost: Some(best.cost),
         })
     }
--- a/crates/forward/src/placement/explain.rs
+++ b/crates/forward/src/placement/explain.rs
@@ -39,7 +39,7 @@
         let mean_flows = sample::mean_flows(seen, &entries);
         let describe = |e: &&TargetEntry| self.describe(seen, e, mean_flows, &compared);
         ExplainedChoice {
-            choice: decision.map(|d| d.choice),
+            choice: decision.map(|(choice, _)| choice),
             candidates: entries.iter().map(describe).collect(),
         }
     }
--- a/crates/forward/src/placement/sample.rs
+++ b/crates/forward/src/placement/sample.rs
@@ -5,7 +5,7 @@
 use rand::seq::index;
 
 use super::candidates::{ServiceTargets, is_cold};
-use super::{Choice, Examined, FLOW_DEMAND, Observations, WARMUP_FACTOR, WARMUP_PENALTY};
+use super::{Examined, FLOW_DEMAND, Observations, Pick, WARMUP_FACTOR, WARMUP_PENALTY};
 use crate::health::FAILING_RATE;
 use crate::view::TargetEntry;
 use crate::{Liveness, TargetNumber};
@@ -37,7 +37,7 @@
     tried: &[TargetNumber],
     rng: &mut StdRng,
     examined: &mut Examined,
-) -> Option<Choice> {
+) -> Option<Pick> {
     let untried = |e: &&TargetEntry| !tried.contains(&e.target.number);
     let near = |e: &&TargetEntry| {
         let own_zone = e.target.zone == *seen.zone;
@@ -61,12 +61,10 @@
     let mean_flows = mean_flows(seen, &drawn);
     let loads = sample.iter().map(|e| (load(seen, e, mean_flows), *e));
     let (load, entry) = loads.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
-    Some(Choice {
+    Some(Pick {
         target: entry.target.number,
         load,
-        candidates: targets.all.len() + granted.len(),
-        withheld: targets.limited - granted.len(),
-        examined: examined.count,
+        cost: None,
     })
 }
 
