review: case 9, a draining backend is not told where a flow has opened

Cause: corrections of half-open connections leave out draining targets, and an unconfirmed echo that names one is followed after a restart.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 set -e
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 or later"'
-for file in standins/*.py 6/run.py 7/run.py; do
+for file in standins/*.py 6/run.py 7/run.py 9/run.py; do
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
