Log whether a looked up target is certain, and who answered

Change: `looked up` names its source (confirmed, unconfirmed or assumed), `lookup answered` and the counter `lookups_answered` show the other side.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -112,6 +112,27 @@
     }
 }
 
+/// Where the target of a flow that was looked up comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LookupSource {
+    /// A peer named it: it has sent data of the flow.
+    Confirmed,
+    /// A peer named it and has sent packets of the flow to it.
+    Unconfirmed,
+    /// No peer answered in time, so the most likely target was assumed.
+    Assumed,
+}
+
+impl fmt::Display for LookupSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Confirmed => "confirmed",
+            Self::Unconfirmed => "unconfirmed",
+            Self::Assumed => "assumed",
+        })
+    }
+}
+
 /// A decision or a change in a target's state, for the log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -159,9 +180,17 @@
         flow: FlowKey,
         /// Its target.
         target: TargetNumber,
-        /// Whether a peer named the target. Otherwise it is the one whose answer the client received
-        /// last.
-        told: bool,
+        /// Where the target comes from.
+        source: LookupSource,
+    },
+    /// A peer's question for the target of a flow was answered.
+    LookupAnswered {
+        /// The flow.
+        flow: FlowKey,
+        /// The target that was named.
+        target: TargetNumber,
+        /// Whether the target has sent data of the flow.
+        confirmed: bool,
     },
     /// Targets that had answered the opening of a flow were told which target it is open at.
     HalfOpenCorrected {
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -15,8 +15,8 @@
 use crate::lookup::Admission;
 use crate::view::{Evidence, TargetEntry};
 use crate::{
-    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Liveness, Segment,
-    SegmentKind, TargetNumber,
+    Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Liveness, LookupSource,
+    Segment, SegmentKind, TargetNumber,
 };
 
 /// Maximum number of messages to peers between two calls of [`Forwarder::take_messages`].
@@ -74,6 +74,11 @@
             Binding::Assumed => (flow.target, false),
             Binding::Confirmed => (flow.target, true),
         };
+        self.record_event(Event::LookupAnswered {
+            flow: key,
+            target,
+            confirmed,
+        });
         Some(FlowMessage::Binding {
             flow: key,
             target,
@@ -89,7 +94,12 @@
         if let Some(lookup) = self.lookups.take(key) {
             if let Some(first) = lookup.packets.first() {
                 self.bind_to(&first.segment, target, confirmed, now);
-                self.record_lookup(*key, target, true);
+                let source = if confirmed {
+                    LookupSource::Confirmed
+                } else {
+                    LookupSource::Unconfirmed
+                };
+                self.record_lookup(*key, target, source);
             }
             self.released.extend(lookup.packets);
             return;
@@ -341,7 +351,7 @@
                 && !self.flows.get(&first.flow).is_some_and(Flow::is_open)
             {
                 self.bind_to(&first, lookup.assumed, false, now);
-                self.record_lookup(first.flow, lookup.assumed, false);
+                self.record_lookup(first.flow, lookup.assumed, LookupSource::Assumed);
             }
             self.released.extend(lookup.packets);
         }
@@ -355,8 +365,12 @@
         }
     }
 
-    fn record_lookup(&mut self, flow: FlowKey, target: TargetNumber, told: bool) {
-        self.record_event(Event::LookedUp { flow, target, told });
+    fn record_lookup(&mut self, flow: FlowKey, target: TargetNumber, source: LookupSource) {
+        self.record_event(Event::LookedUp {
+            flow,
+            target,
+            source,
+        });
     }
 
     fn send_message(&mut self, message: FlowMessage) {
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -36,7 +36,7 @@
 mod view;
 mod warmup_rate;
 
-pub use action::{Action, DropReason, DueAction, Event, Forward, ResetReason};
+pub use action::{Action, DropReason, DueAction, Event, Forward, LookupSource, ResetReason};
 pub use admission::LimitChange;
 pub use beacon::{Beacon, LoadPart, LoadReport, MemberReport, ZonePosition};
 pub use explanation::{Candidate, Exclusion, Explanation};
--- a/crates/forwarder/src/metrics.rs
+++ b/crates/forwarder/src/metrics.rs
@@ -27,6 +27,8 @@
     pub flows_looked_up: Counter,
     /// Lookups that no peer answered.
     pub lookups_unanswered: Counter,
+    /// Questions of peers for the target of a flow that this instance answered.
+    pub lookups_answered: Counter,
     /// Flows of which several targets had answered the opening, and were told the flow's target.
     pub half_open_corrected: Counter,
     /// Flows reset by this instance.
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -7,7 +7,7 @@
 use opentelemetry::metrics::Histogram;
 use slog::{Logger, info, warn};
 use tanager_core::{Clock, Millis};
-use tanager_forward::{DropReason, Evacuation, Event, ResetReason, StoreRevision};
+use tanager_forward::{DropReason, Evacuation, Event, LookupSource, ResetReason, StoreRevision};
 use tanagerproxy::settings::LogSettings;
 use tanagerproxy::telemetry::{Exporter, Log};
 
@@ -189,12 +189,13 @@
                     counters.packets_shed.increment();
                 }
             }
-            Event::LookedUp { told, .. } => {
+            Event::LookedUp { source, .. } => {
                 counters.flows_looked_up.increment();
-                if !told {
+                if *source == LookupSource::Assumed {
                     counters.lookups_unanswered.increment();
                 }
             }
+            Event::LookupAnswered { .. } => counters.lookups_answered.increment(),
             Event::HalfOpenCorrected { .. } => counters.half_open_corrected.increment(),
             Event::Liveness(_)
             | Event::Health(_)
@@ -234,8 +235,19 @@
             } => info!(self.log, "[forward] dropped";
                 "flow" => %flow, "cookie" => %cookie, "reason" => %reason,
                 "revision" => %revision, "view_age_ms" => age_ms),
-            Event::LookedUp { flow, target, told } => info!(self.log, "[forward] looked up";
-                "flow" => %flow, "target" => %target, "told" => told,
+            Event::LookedUp {
+                flow,
+                target,
+                source,
+            } => info!(self.log, "[forward] looked up";
+                "flow" => %flow, "target" => %target, "source" => %source,
+                "revision" => %revision, "view_age_ms" => age_ms),
+            Event::LookupAnswered {
+                flow,
+                target,
+                confirmed,
+            } => info!(self.log, "[forward] lookup answered";
+                "flow" => %flow, "target" => %target, "confirmed" => confirmed,
                 "revision" => %revision, "view_age_ms" => age_ms),
             Event::HalfOpenCorrected {
                 flow,
