Keep the binding of a flow when an uncertain answer comes later

Cause: the second packet of a request overtakes the first one, so the instance asks its peers where the flow is open and holds the packet. The first packet binds the flow meanwhile, but the lookup stayed in progress, and an unconfirmed answer of a peer that had been frozen replaced the binding. The held packet went to a target that had only got an old opening, and that target reset the flow.

Change: a packet that binds a flow ends its lookup and releases the packets held for it, so they no longer wait 50 ms either. An answer without a lookup counts only if it is confirmed, which was the rule for flows that had never been looked up.

`an_uncertain_answer_does_not_replace_a_binding` and `a_lookup_ends_when_its_flow_is_bound` (half_open) fail before the change: the packet goes to the named target, and nothing is released. Both pass after it.

--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -12,7 +12,7 @@
 
 use super::Forwarder;
 use crate::flows::{Binding, Flow, HalfOpen};
-use crate::lookup::Admission;
+use crate::lookup::{Admission, Lookup};
 use crate::view::{Evidence, TargetEntry};
 use crate::{
     Action, Cookie, DropReason, DueAction, Event, FlowKey, FlowMessage, Liveness, LookupSource,
@@ -86,29 +86,47 @@
         })
     }
 
-    /// Applies what a peer tells about a flow's target.
+    /// Applies what a peer tells about a flow's target. What is not certain only binds a flow that
+    /// waits for it: a packet may have bound the flow since the peer was asked, and a peer that was
+    /// paused may know less than this instance.
     fn apply_binding(&mut self, key: &FlowKey, target: TargetNumber, confirmed: bool, now: Millis) {
         if self.view.get(target).is_none() {
             return;
         }
         if let Some(lookup) = self.lookups.take(key) {
-            if let Some(first) = lookup.packets.first() {
-                self.bind_to(&first.segment, target, confirmed, now);
-                let source = if confirmed {
-                    LookupSource::Confirmed
-                } else {
-                    LookupSource::Unconfirmed
-                };
-                self.record_lookup(*key, target, source);
-            }
-            self.released.extend(lookup.packets);
-            return;
+            self.finish_lookup(lookup, target, confirmed, now);
+        } else if confirmed {
+            self.apply_confirmation(key, target, now);
         }
+    }
+
+    /// Binds the flow of a lookup to the target that a peer named, and releases the packets.
+    fn finish_lookup(
+        &mut self,
+        lookup: Lookup,
+        target: TargetNumber,
+        confirmed: bool,
+        now: Millis,
+    ) {
+        if let Some(first) = lookup.packets.first() {
+            let source = if confirmed {
+                LookupSource::Confirmed
+            } else {
+                LookupSource::Unconfirmed
+            };
+            self.bind_to(&first.segment, target, confirmed, now);
+            self.record_lookup(first.segment.flow, target, source);
+        }
+        self.released.extend(lookup.packets);
+    }
+
+    /// Binds a known flow to the target that has sent data of it, according to a peer, unless this
+    /// instance has seen data of another one.
+    fn apply_confirmation(&mut self, key: &FlowKey, target: TargetNumber, now: Millis) {
         let Some(flow) = self.flows.get(key) else {
             return;
         };
-        let agrees = flow.target == target;
-        if !confirmed || (flow.is_confirmed() && !agrees) {
+        if flow.is_confirmed() && flow.target != target {
             return;
         }
         self.rebind(key, target, now);
@@ -173,9 +191,13 @@
         tried.find(|n| !lost(*n)).unwrap_or(named)
     }
 
-    /// Binds a flow to a target on a packet that follows the opening.
+    /// Binds a flow to a target on a packet that follows the opening. This ends a lookup of the flow:
+    /// its packets are released.
     fn bind_to(&mut self, segment: &Segment, target: TargetNumber, confirmed: bool, now: Millis) {
         let key = segment.flow;
+        if let Some(lookup) = self.lookups.take(&key) {
+            self.released.extend(lookup.packets);
+        }
         if self.flows.get(&key).is_none() {
             let mut flow = Flow::adopted(target, segment, now);
             if confirmed {
@@ -347,9 +369,7 @@
     pub(super) fn release_looked_up(&mut self, due: &mut Vec<DueAction>, now: Millis) {
         while let Some(lookup) = self.lookups.take_due(now) {
             let first = lookup.packets.first().map(|p| p.segment);
-            if let Some(first) = first
-                && !self.flows.get(&first.flow).is_some_and(Flow::is_open)
-            {
+            if let Some(first) = first {
                 self.bind_to(&first, lookup.assumed, false, now);
                 self.record_lookup(first.flow, lookup.assumed, LookupSource::Assumed);
             }
--- a/crates/forward/tests/half_open.rs
+++ b/crates/forward/tests/half_open.rs
@@ -230,6 +230,61 @@
     assert_eq!(sent_to(client.resend(&mut other, 100, at(200))), confirmed);
 }
 
+/// Sends a request of two packets, of which the second one overtakes the first. Returns the action for
+/// the second one, and the target that got the first one.
+fn request_out_of_order(
+    client: &mut Client,
+    forwarder: &mut Forwarder,
+    now: Millis,
+) -> (Action, TargetNumber) {
+    let mut second = client.clone();
+    second.sent += 1_200;
+    let second = second.send(forwarder, 100, now);
+    let first = sent_to(client.send(forwarder, 1_200, now));
+    (second, first)
+}
+
+/// Guards against an answer to a lookup that replaces the target to which the client's first packet has
+/// bound the flow in the meantime (review/6): the answer may come from an instance that was frozen.
+#[test]
+fn an_uncertain_answer_does_not_replace_a_binding() {
+    let mut forwarder = forwarder(TARGETS);
+    let mut client = Client::new(1, ORDER_PORT);
+    let own = sent_to(client.opening(&mut forwarder, 1, at(0)));
+    client.accept_opening(own);
+    let (second, first) = request_out_of_order(&mut client, &mut forwarder, at(20));
+    let other = (1..=TARGETS)
+        .map(TargetNumber::new)
+        .find(|n| *n != own)
+        .expect("another target");
+
+    let answer = FlowMessage::Binding {
+        flow: client.flow,
+        target: other,
+        confirmed: false,
+    };
+    forwarder.handle_message(answer, at(21));
+
+    assert_eq!((second, first), (Action::LookUp, own));
+    let sent = openings(&forwarder.take_due(at(21)));
+    assert_eq!(sent, [(own, own.cookie())]);
+    assert_eq!(sent_to(client.resend(&mut forwarder, 100, at(230))), own);
+}
+
+/// Guards against packets that wait for an answer after the flow has been bound without it.
+#[test]
+fn a_lookup_ends_when_its_flow_is_bound() {
+    let mut forwarder = forwarder(TARGETS);
+    let mut client = Client::new(1, ORDER_PORT);
+    let own = sent_to(client.opening(&mut forwarder, 1, at(0)));
+    client.accept_opening(own);
+
+    request_out_of_order(&mut client, &mut forwarder, at(20));
+
+    let sent = openings(&forwarder.take_due(at(20)));
+    assert_eq!(sent, [(own, own.cookie())]);
+}
+
 /// Guards against taking the last target for the flow's own when no peer answers (soak, seed 1031): the
 /// client had moved to another instance and come back, and all targets had answered the opening.
 #[test]
