Answer for an opening only if the client has its target's answer

The question carries the cookie of an answer that the client has received. If that cookie names another target, some other instance sent the opening there, so the claim is false however recent the opening seems.

Change: an instance that is still opening a flow names its only target if the cookie of the question names the same one, and otherwise stays silent. It stops trying further targets in either case, as before.

`an_opening_is_no_answer_for_a_client_of_another_target` (half_open) fails before the change with an answer that names the instance's own choice, and passes after it.

--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -50,7 +50,7 @@
     /// returned by the next call of [`Forwarder::take_due`].
     pub fn handle_message(&mut self, message: FlowMessage, now: Millis) -> Option<FlowMessage> {
         match message {
-            FlowMessage::Query { flow, .. } => self.answer_query(flow, now),
+            FlowMessage::Query { flow, cookie } => self.answer_query(flow, cookie, now),
             FlowMessage::Binding {
                 flow,
                 target,
@@ -63,13 +63,16 @@
     }
 
     /// Returns what this instance knows of a flow's target. The client of a flow that is still being
-    /// opened here continues through the instance that asks.
-    fn answer_query(&mut self, key: FlowKey, now: Millis) -> Option<FlowMessage> {
+    /// opened here continues through the instance that asks. Its cookie tells whose answer it has
+    /// received: if that target got the opening from another instance, the flow may be open there.
+    fn answer_query(&mut self, key: FlowKey, cookie: Cookie, now: Millis) -> Option<FlowMessage> {
         let flow = self.flows.get(&key).filter(|f| !f.finished)?;
         let (target, confirmed) = match flow.binding {
             Binding::Opening => {
                 self.openings.stop_trying(&key);
-                (self.openings.get(&key)?.only_target(now)?, false)
+                let only = self.openings.get(&key)?.only_target(now)?;
+                let answered = self.view.find_evidence(cookie)?.target();
+                ((only == answered).then_some(only)?, false)
             }
             Binding::Assumed => (flow.target, false),
             Binding::Confirmed => (flow.target, true),
--- a/crates/forward/tests/half_open.rs
+++ b/crates/forward/tests/half_open.rs
@@ -38,6 +38,11 @@
     target
 }
 
+fn another_than(target: TargetNumber) -> TargetNumber {
+    let mut targets = (1..=TARGETS).map(TargetNumber::new);
+    targets.find(|n| *n != target).expect("several targets")
+}
+
 fn another_instance() -> Forwarder {
     seeded_forwarder((1..=TARGETS).map(|n| target(n, "feeds", "a")), 8)
 }
@@ -253,14 +258,10 @@
     let own = sent_to(client.opening(&mut forwarder, 1, at(0)));
     client.accept_opening(own);
     let (second, first) = request_out_of_order(&mut client, &mut forwarder, at(20));
-    let other = (1..=TARGETS)
-        .map(TargetNumber::new)
-        .find(|n| *n != own)
-        .expect("another target");
 
     let answer = FlowMessage::Binding {
         flow: client.flow,
-        target: other,
+        target: another_than(own),
         confirmed: false,
     };
     forwarder.handle_message(answer, at(21));
@@ -271,6 +272,26 @@
     assert_eq!(sent_to(client.resend(&mut forwarder, 100, at(230))), own);
 }
 
+/// Guards against an instance that has just read an old opening, and names its own choice although the
+/// client has got the answer of another target (review/6).
+#[test]
+fn an_opening_is_no_answer_for_a_client_of_another_target() {
+    let mut opener = forwarder(TARGETS);
+    let mut client = Client::new(1, ORDER_PORT);
+    let chosen = sent_to(client.opening(&mut opener, 0, at(0)));
+    let accepted = another_than(chosen);
+    client.accept_opening(accepted);
+    let query = FlowMessage::Query {
+        flow: client.flow,
+        cookie: client.cookie,
+    };
+
+    let answer = opener.handle_message(query, at(10));
+
+    assert_eq!(answer, None);
+    assert_eq!(openings(&opener.take_due(at(400))), []);
+}
+
 /// Guards against packets that wait for an answer after the flow has been bound without it.
 #[test]
 fn a_lookup_ends_when_its_flow_is_bound() {
