Ask peers about openings that waited while the instance was paused

Change: the task that receives packets observes at least every 100 ms that it runs. If 200 ms or more have passed, the process was paused, and packets may be old until the socket is empty. Peers are asked about openings read meanwhile: if one knows the flow, the opening is dropped (`moved`); if none answers within 50 ms, it is placed, and makes no claim. An old copy of the opening of an open flow is dropped. `was paused` is logged and counted. The question is the existing query without a cookie; older builds decode it, and answer it or not, and they neither send nor receive the new answer `Known`.

--- a/crates/forward/src/action.rs
+++ b/crates/forward/src/action.rs
@@ -30,8 +30,8 @@
     },
     /// Do nothing: the packet is held until a newer view arrives, which should be read now.
     Wait,
-    /// Do nothing: the packet is held until a peer has told its flow's target, or a short time has
-    /// passed.
+    /// Do nothing: the packet is held until a peer has told what it knows of the flow, or a short time
+    /// has passed.
     LookUp,
     /// Drop the packet.
     Drop(DropReason),
@@ -66,6 +66,9 @@
     /// It is an opening that was sent to a target of a zone that is now evacuated, and no other
     /// target can take it.
     Evacuated,
+    /// It is an opening that waited while this instance was paused, and its flow has been opened, or is
+    /// being opened through another instance.
+    Moved,
 }
 
 impl fmt::Display for DropReason {
@@ -78,6 +81,7 @@
             Self::Overloaded => "overloaded",
             Self::ColdTarget => "cold-target",
             Self::Evacuated => "evacuated",
+            Self::Moved => "moved",
         })
     }
 }
--- a/crates/forward/src/flow_message.rs
+++ b/crates/forward/src/flow_message.rs
@@ -9,11 +9,13 @@
 /// What an instance asks or tells about a flow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FlowMessage {
-    /// The sender has a packet of the flow and does not know its target.
+    /// The sender has a packet of the flow and does not know its target, or whether another instance
+    /// has placed the flow.
     Query {
         /// The flow.
         flow: FlowKey,
-        /// The cookie of the packet, which names a target that answered an opening of the flow.
+        /// The cookie of the packet, which names a target that answered an opening of the flow;
+        /// [`Cookie::NONE`] if the packet is an opening that may be old.
         cookie: Cookie,
     },
     /// The sender forwards the flow to this target.
@@ -26,6 +28,12 @@
         /// the opening.
         confirmed: bool,
     },
+    /// The answer to a query for an opening: the client continues through the sender. Older builds
+    /// neither ask for it nor decode it.
+    Known {
+        /// The flow.
+        flow: FlowKey,
+    },
 }
 
 /// A message about a flow, as sent between instances.
--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -53,6 +53,8 @@
     /// Generation of the view for which held packets were last retried.
     held_generation: u64,
     lookups: Lookups,
+    /// Since when packets that are received now may have waited, if the instance was paused.
+    paused_since: Option<Millis>,
     /// Packets of ended lookups, to be handled now.
     released: Vec<UncertainPacket>,
     /// Openings to be sent to targets that do not know where their flows are open.
@@ -92,6 +94,7 @@
             held: HeldPackets::default(),
             held_generation: 0,
             lookups: Lookups::default(),
+            paused_since: None,
             released: Vec::new(),
             corrections: Vec::new(),
             messages: Vec::new(),
@@ -117,6 +120,12 @@
         &self.view
     }
 
+    /// Records since when packets that are handled from now on may have waited to be received, because
+    /// the instance was paused; `None` once they have all been handled.
+    pub const fn set_paused_since(&mut self, since: Option<Millis>) {
+        self.paused_since = since;
+    }
+
     /// Decides what to do with a client's packet.
     pub fn handle_packet(&mut self, segment: &Segment, packet: &[u8], now: Millis) -> Action {
         self.end_overdue_requests(now);
@@ -126,6 +135,17 @@
             SegmentKind::Open { .. } => self.open(segment, packet, now),
             _ => self.handle_established(segment, packet, now),
         };
+        self.hold_or_drop(decision, segment, packet, now)
+    }
+
+    /// Holds a packet that a newer view may let through, and drops it for any other reason.
+    fn hold_or_drop(
+        &mut self,
+        decision: Result<Action, DropReason>,
+        segment: &Segment,
+        packet: &[u8],
+        now: Millis,
+    ) -> Action {
         decision.unwrap_or_else(|reason| match reason {
             DropReason::UnknownTarget | DropReason::NoRoutes
                 if self.held.push(segment, packet, reason, now) =>
--- a/crates/forward/src/forwarder/binding.rs
+++ b/crates/forward/src/forwarder/binding.rs
@@ -50,6 +50,9 @@
     /// returned by the next call of [`Forwarder::take_due`].
     pub fn handle_message(&mut self, message: FlowMessage, now: Millis) -> Option<FlowMessage> {
         match message {
+            FlowMessage::Query { flow, cookie } if cookie == Cookie::NONE => {
+                self.answer_opening_query(flow)
+            }
             FlowMessage::Query { flow, cookie } => self.answer_query(flow, cookie, now),
             FlowMessage::Binding {
                 flow,
@@ -59,9 +62,24 @@
                 self.apply_binding(&flow, target, confirmed, now);
                 None
             }
+            FlowMessage::Known { flow } => {
+                self.drop_openings(&flow);
+                None
+            }
         }
     }
 
+    /// Answers an instance that has an opening which may be old, if the flow is known here.
+    fn answer_opening_query(&mut self, key: FlowKey) -> Option<FlowMessage> {
+        let flow = self.flows.get(&key)?;
+        self.record_event(Event::LookupAnswered {
+            flow: key,
+            target: flow.target,
+            confirmed: flow.is_confirmed(),
+        });
+        Some(FlowMessage::Known { flow: key })
+    }
+
     /// Returns what this instance knows of a flow's target. The client of a flow that is still being
     /// opened here continues through the instance that asks. Its cookie tells whose answer it has
     /// received: if that target got the opening from another instance, the flow may be open there.
@@ -97,30 +115,45 @@
             return;
         }
         if let Some(lookup) = self.lookups.take(key) {
-            self.finish_lookup(lookup, target, confirmed, now);
+            let source = if confirmed {
+                LookupSource::Confirmed
+            } else {
+                LookupSource::Unconfirmed
+            };
+            self.finish_lookup(lookup, target, source, now);
         } else if confirmed {
             self.apply_confirmation(key, target, now);
         }
     }
 
-    /// Binds the flow of a lookup to the target that a peer named, and releases the packets.
+    /// Drops the openings of a flow whose client continues through a peer.
+    fn drop_openings(&mut self, key: &FlowKey) {
+        let lookup = self.lookups.take_openings(key);
+        for opening in lookup.into_iter().flat_map(|l| l.packets) {
+            self.drop_packet(&opening.segment, DropReason::Moved);
+        }
+    }
+
+    /// Binds the flow of a lookup to its target, and releases the packets. Openings are dropped, since
+    /// the client has received an answer to one.
     fn finish_lookup(
         &mut self,
         lookup: Lookup,
         target: TargetNumber,
-        confirmed: bool,
+        source: LookupSource,
         now: Millis,
     ) {
-        if let Some(first) = lookup.packets.first() {
-            let source = if confirmed {
-                LookupSource::Confirmed
-            } else {
-                LookupSource::Unconfirmed
-            };
+        let packets = lookup.without_openings();
+        if let Some(first) = packets.first() {
+            let confirmed = source == LookupSource::Confirmed;
             self.bind_to(&first.segment, target, confirmed, now);
-            self.record_lookup(first.segment.flow, target, source);
+            self.record_event(Event::LookedUp {
+                flow: first.segment.flow,
+                target,
+                source,
+            });
         }
-        self.released.extend(lookup.packets);
+        self.released.extend(packets);
     }
 
     /// Binds a known flow to the target that has sent data of it, according to a peer, unless this
@@ -172,7 +205,7 @@
         };
         if !certain {
             let assumed = self.likely_target(&key, evidence.target(), now);
-            if self.look_up(segment, packet, assumed, now) {
+            if self.look_up(segment, packet, Some(assumed), now) {
                 return Ok(Bound::LookingUp);
             }
         }
@@ -195,11 +228,11 @@
     }
 
     /// Binds a flow to a target on a packet that follows the opening. This ends a lookup of the flow:
-    /// its packets are released.
+    /// its packets are released, except openings, which are obsolete.
     fn bind_to(&mut self, segment: &Segment, target: TargetNumber, confirmed: bool, now: Millis) {
         let key = segment.flow;
         if let Some(lookup) = self.lookups.take(&key) {
-            self.released.extend(lookup.packets);
+            self.released.extend(lookup.without_openings());
         }
         if self.flows.get(&key).is_none() {
             let mut flow = Flow::adopted(target, segment, now);
@@ -351,11 +384,11 @@
 
     /// Holds a packet and asks peers for the target of its flow. Returns `false` if too many packets
     /// are held.
-    fn look_up(
+    pub(super) fn look_up(
         &mut self,
         segment: &Segment,
         packet: &[u8],
-        assumed: TargetNumber,
+        assumed: Option<TargetNumber>,
         now: Millis,
     ) -> bool {
         let admission = self.lookups.push(segment, packet, assumed, now);
@@ -371,12 +404,10 @@
     /// Handles the packets of ended lookups.
     pub(super) fn release_looked_up(&mut self, due: &mut Vec<DueAction>, now: Millis) {
         while let Some(lookup) = self.lookups.take_due(now) {
-            let first = lookup.packets.first().map(|p| p.segment);
-            if let Some(first) = first {
-                self.bind_to(&first, lookup.assumed, false, now);
-                self.record_lookup(first.flow, lookup.assumed, LookupSource::Assumed);
+            match lookup.assumed {
+                Some(target) => self.finish_lookup(lookup, target, LookupSource::Assumed, now),
+                None => self.place_unknown(lookup, due, now),
             }
-            self.released.extend(lookup.packets);
         }
         for held in std::mem::take(&mut self.released) {
             let action = self.handle_packet(&held.segment, &held.packet, now);
@@ -388,12 +419,17 @@
         }
     }
 
-    fn record_lookup(&mut self, flow: FlowKey, target: TargetNumber, source: LookupSource) {
-        self.record_event(Event::LookedUp {
-            flow,
-            target,
-            source,
-        });
+    /// Places old openings of a flow that no peer knows.
+    fn place_unknown(&mut self, lookup: Lookup, due: &mut Vec<DueAction>, now: Millis) {
+        for held in lookup.packets {
+            let placed = self.place(&held.segment, &held.packet, true, now);
+            let action = self.hold_or_drop(placed, &held.segment, &held.packet, now);
+            due.push(DueAction {
+                flow: held.segment.flow,
+                action,
+                packet: held.packet,
+            });
+        }
     }
 
     fn send_message(&mut self, message: FlowMessage) {
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -6,7 +6,7 @@
 
 use super::Forwarder;
 use crate::flows::Flow;
-use crate::opening::MAX_TARGETS;
+use crate::opening::{CLIENT_RETRANSMISSION_TIME, MAX_TARGETS};
 use crate::{Action, DropReason, DueAction, FlowKey, Forward, ResetReason, Segment, TargetNumber};
 
 /// Maximum age of the view at which a packet without a route is answered by a reset. An older view
@@ -20,6 +20,34 @@
         segment: &Segment,
         packet: &[u8],
         now: Millis,
+    ) -> Result<Action, DropReason> {
+        if !self.may_have_been_repeated(now) {
+            return self.place(segment, packet, false, now);
+        }
+        if self.flows.get(&segment.flow).is_some_and(Flow::is_open) {
+            return Err(DropReason::Moved);
+        }
+        if self.look_up(segment, packet, None, now) {
+            return Ok(Action::LookUp);
+        }
+        self.place(segment, packet, true, now)
+    }
+
+    /// Returns whether a packet that is received now may have waited for so long that its client has
+    /// sent a copy, perhaps through another instance.
+    fn may_have_been_repeated(&self, now: Millis) -> bool {
+        let waited = |since: Millis| now.since(since) >= CLIENT_RETRANSMISSION_TIME;
+        self.paused_since.is_some_and(waited)
+    }
+
+    /// Sends an opening to a target. `repeated` tells whether the client has, or may have, sent
+    /// another copy.
+    pub(super) fn place(
+        &mut self,
+        segment: &Segment,
+        packet: &[u8],
+        repeated: bool,
+        now: Millis,
     ) -> Result<Action, DropReason> {
         if let Some(forward) = self.retransmitted_open(segment, now) {
             return forward.map(Action::Forward);
@@ -40,7 +68,7 @@
         if self.flows.insert(key, flow) {
             self.loads.open(choice.target, now);
             self.openings.insert(key, packet, choice.target, now);
-            if segment.is_retransmission() {
+            if repeated || segment.is_retransmission() {
                 self.openings.record_retransmission(&key);
             }
             self.start_counting(&key, now);
--- a/crates/forward/src/lookup.rs
+++ b/crates/forward/src/lookup.rs
@@ -1,11 +1,12 @@
-//! Packets of flows whose target is uncertain, held while peers are asked for it.
+//! Packets of flows whose target is uncertain, held while peers are asked for it. Openings are held if
+//! another instance may have placed the flow while this one was paused.
 
 use std::time::Duration;
 
 use tanager_core::{FastMap, Millis};
 
 use crate::deadline::Deadlines;
-use crate::{FlowKey, Segment, TargetNumber};
+use crate::{FlowKey, Segment, SegmentKind, TargetNumber};
 
 /// Time for which packets are held. Several round trips between nearby zones, and well below the
 /// 200 ms after which clients retransmit.
@@ -26,16 +27,27 @@
 /// A flow whose target is looked up.
 #[derive(Debug, Clone)]
 pub struct Lookup {
-    /// The target to which the flow is bound if no peer knows better.
-    pub assumed: TargetNumber,
+    /// The target to which the flow is bound if no peer knows better; `None` as long as only openings
+    /// are held.
+    pub assumed: Option<TargetNumber>,
     /// Invariant: one to [`MAX_PACKETS`] packets.
     pub packets: Vec<UncertainPacket>,
 }
 
+impl Lookup {
+    /// Returns the packets that follow the opening.
+    pub fn without_openings(mut self) -> Vec<UncertainPacket> {
+        let is_opening = |p: &UncertainPacket| matches!(p.segment.kind, SegmentKind::Open { .. });
+        self.packets.retain(|p| !is_opening(p));
+        self.packets
+    }
+}
+
 /// What happened to a packet of a flow whose target is uncertain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
-    /// It is held, and peers have to be asked.
+    /// It is held, and peers have to be asked. A packet that follows held openings needs a question of
+    /// its own, with its cookie.
     Started,
     /// It is held or, as one too many, dropped; peers have been asked before.
     Joined,
@@ -53,12 +65,13 @@
 }
 
 impl Lookups {
-    /// Holds a packet of a flow.
+    /// Holds a packet of a flow. `assumed` is the target that the packet most likely belongs to; `None`
+    /// for an opening.
     pub fn push(
         &mut self,
         segment: &Segment,
         packet: &[u8],
-        assumed: TargetNumber,
+        assumed: Option<TargetNumber>,
         now: Millis,
     ) -> Admission {
         let held = UncertainPacket {
@@ -66,10 +79,16 @@
             packet: packet.to_vec(),
         };
         if let Some(lookup) = self.pending.get_mut(&segment.flow) {
+            let follows_openings = lookup.assumed.is_none() && assumed.is_some();
+            lookup.assumed = lookup.assumed.or(assumed);
             if lookup.packets.len() < MAX_PACKETS {
                 lookup.packets.push(held);
             }
-            return Admission::Joined;
+            return if follows_openings {
+                Admission::Started
+            } else {
+                Admission::Joined
+            };
         }
         if self.pending.len() >= MAX_LOOKUPS {
             return Admission::Refused;
@@ -81,6 +100,12 @@
         Admission::Started
     }
 
+    /// Ends the lookup of a flow of which only openings are held, if one is in progress.
+    pub fn take_openings(&mut self, flow: &FlowKey) -> Option<Lookup> {
+        self.pending.get(flow).filter(|l| l.assumed.is_none())?;
+        self.pending.remove(flow)
+    }
+
     /// Ends the lookup of a flow, if one is in progress.
     pub fn take(&mut self, flow: &FlowKey) -> Option<Lookup> {
         self.pending.remove(flow)
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -15,7 +15,7 @@
 /// Maximum time, just below the 200 ms after which clients retransmit an opening packet.
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(190);
 /// Time after which clients retransmit an opening packet, perhaps through another instance.
-const CLIENT_RETRANSMISSION_TIME: Duration = Duration::from_millis(200);
+pub const CLIENT_RETRANSMISSION_TIME: Duration = Duration::from_millis(200);
 /// Maximum number of targets tried for one flow, apart from those tried for the client's
 /// retransmissions.
 pub const MAX_TARGETS: usize = 3;
@@ -33,7 +33,7 @@
     started: Millis,
     /// When the answer of the last target times out.
     pub due: Millis,
-    /// Whether the client has retransmitted the packet.
+    /// Whether the client has retransmitted the packet, or may have.
     retransmitted: bool,
     /// Whether the client continues through another instance, so that no further target is tried.
     continued_elsewhere: bool,
@@ -106,7 +106,7 @@
         }
     }
 
-    /// Records that the client retransmitted the packet.
+    /// Records that the client has retransmitted the packet, or may have.
     pub fn record_retransmission(&mut self, flow: &FlowKey) {
         if let Some(opening) = self.pending.get_mut(flow) {
             opening.retransmitted = true;
--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -7,9 +7,11 @@
 use tanager_core::Millis;
 use tanager_forward::{Action, FlowKey, Forward, Segment};
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::sleep;
 
 use crate::instance::Instance;
+use crate::pause::{OBSERVATION_INTERVAL, PauseDetector};
+use crate::report::millis;
 
 /// Largest packet in bytes. Packets on today's platforms are smaller.
 const PACKET_LIMIT: usize = 2_048;
@@ -35,6 +37,7 @@
         socket,
         format,
         datagram: Vec::with_capacity(PACKET_LIMIT),
+        pauses: PauseDetector::new(instance.now()),
         instance,
     };
     loop {
@@ -49,10 +52,12 @@
                 "error" => %error);
             tokio::task::yield_now().await;
         }
+        handler.detect_pause();
         // A target counts as unresponsive only after all received packets have been handled:
         // its answer may be among them.
         if handler.receive(&mut packet) {
             handler.send_due();
+            handler.pauses.record_empty(handler.instance.now());
         }
         if handler.instance.forwarder.borrow().has_messages() {
             handler.instance.messages_queued.notify_one();
@@ -61,18 +66,18 @@
     }
 }
 
-/// Waits until `due`, or forever if it is `None`.
+/// Waits until `due`, but not longer than until the next observation of a possible pause.
 async fn wait_until(instance: &Instance, due: Option<Millis>) {
-    match due {
-        Some(due) => sleep_until(Instant::now() + due.since(instance.now())).await,
-        None => std::future::pending().await,
-    }
+    let until_due = due.map(|due| due.since(instance.now()));
+    let wait = until_due.map_or(OBSERVATION_INTERVAL, |t| t.min(OBSERVATION_INTERVAL));
+    sleep(wait).await;
 }
 
 struct PacketHandler<F> {
     socket: UdpSocket,
     format: F,
     datagram: Vec<u8>,
+    pauses: PauseDetector,
     instance: Rc<Instance>,
 }
 
@@ -94,6 +99,18 @@
         false
     }
 
+    /// Tells the forwarder whether the packets received next may be old.
+    fn detect_pause(&mut self) {
+        let reporter = &self.instance.reporter;
+        if let Some(length) = self.pauses.observe(self.instance.now()) {
+            reporter.counters.pauses.increment();
+            slog::warn!(reporter.log, "[node] was paused"; "ms" => millis(length));
+        }
+        let since = self.pauses.waiting_since();
+        let mut forwarder = self.instance.forwarder.borrow_mut();
+        forwarder.set_paused_since(since);
+    }
+
     fn handle(&mut self, packet: &[u8]) {
         let counters = &self.instance.reporter.counters;
         counters.packets_received.increment();
--- a/crates/forwarder/src/flow_messages.rs
+++ b/crates/forwarder/src/flow_messages.rs
@@ -76,7 +76,7 @@
         };
         send(socket, instance, &answer, std::iter::once(reply_to));
     }
-    if matches!(message, FlowMessage::Binding { .. }) {
+    if !matches!(message, FlowMessage::Query { .. }) {
         instance.held_released.notify_one();
     }
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -15,6 +15,9 @@
 mod instance;
 mod metrics;
 mod pages;
+mod pause;
+#[cfg(test)]
+mod pause_tests;
 mod peers;
 mod reader;
 #[cfg(test)]
--- a/crates/forwarder/src/metrics.rs
+++ b/crates/forwarder/src/metrics.rs
@@ -11,6 +11,8 @@
 pub struct Counters {
     /// Packets received from clients.
     pub packets_received: Counter,
+    /// Times that the process did not run for 200 ms or longer.
+    pub pauses: Counter,
     /// Packets sent to targets.
     pub packets_forwarded: Counter,
     /// Packets that cannot be decoded.
