Date the misses of a target by the packet that it missed

Cause: the misses that all instances count for a target fade with 3 s from whatever height they reached, and while they mark it as lost to all, nobody sends it a packet, so nothing can show that it is back. A miss also had the date of the client's repetition, up to 1.6 s after the packet that the target did not get.

Change: a request keeps when its data was last sent to the target, and a repetition counts as a miss of that packet. An instance counts and reports the misses of a target until 2 s after the newest missed packet was sent; its own suspicion lasts 3 s from there. Packets then show whether the target has recovered. `target standing` tells the age as `missed_ms`.

--- a/crates/forward/src/flows.rs
+++ b/crates/forward/src/flows.rs
@@ -44,6 +44,8 @@
 pub struct Request {
     /// When it started.
     pub started: Millis,
+    /// When its data was last sent to the target.
+    pub last_sent: Millis,
     /// Whether it still counts as load of its target.
     pub counted: bool,
     /// When it stops counting as load without an acknowledgement.
@@ -257,6 +259,7 @@
             let load_end = now + load_time;
             flow.request = Some(Request {
                 started: now,
+                last_sent: now,
                 counted: true,
                 load_end,
                 retransmitted: false,
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -154,7 +154,9 @@
         let end = segment.sequence.wrapping_add(u32::from(segment.length));
         if is_after(end, flow.sent) {
             flow.sent = end;
-            if flow.request.is_none() {
+            if let Some(request) = &mut flow.request {
+                request.last_sent = now;
+            } else {
                 let load_time = self.load_times.load_time(key.service);
                 self.flows.start_request(key, load_time, now);
                 self.loads.start_request(target, now);
@@ -167,6 +169,7 @@
             // A target that does not accept a request is a different fault than a missing answer.
             flow.pending_answer = None;
             let first = !std::mem::replace(&mut request.retransmitted, true);
+            let missed = std::mem::replace(&mut request.last_sent, now);
             // Reported to peers only if some target has responded since the request started.
             // Otherwise the fault may be in this instance's own path.
             let reachable = self
@@ -174,9 +177,9 @@
                 .last_response_from_any()
                 .is_some_and(|at| at > request.started);
             if first && reachable {
-                self.health.record_retransmission(target, now);
+                self.health.record_miss(target, missed, now);
             }
-            self.liveness.record_retransmission(target, key, now);
+            self.liveness.record_miss(target, key, missed, now);
         }
     }
 }
--- a/crates/forward/src/forwarder/open.rs
+++ b/crates/forward/src/forwarder/open.rs
@@ -98,10 +98,12 @@
             return Some(self.send_opening(target, target.cookie(), now));
         }
         self.openings.record_retransmission(&key);
-        if self.openings.get(&key).is_some_and(|o| now < o.due) {
+        let opening = self.openings.get(&key);
+        if opening.is_some_and(|o| now < o.due) {
             return Some(self.open_at(target, now));
         }
-        self.liveness.record_retransmission(target, key, now);
+        let sent = opening.map_or(now, |o| o.sent);
+        self.liveness.record_miss(target, key, sent, now);
         let replaced = self.replace(&key, now);
         Some(replaced.map_or_else(|| self.open_at(target, now), Ok))
     }
--- a/crates/forward/src/health.rs
+++ b/crates/forward/src/health.rs
@@ -47,6 +47,9 @@
 /// Misses down to which an unresponsive target remains so. Lower than [`UNRESPONSIVE_MISSES`],
 /// because counts decay between two reports.
 const REMAINS_UNRESPONSIVE_MISSES: f64 = 1.5;
+/// Time for which a missed packet counts against a target, from when it was sent. Without a newer one
+/// the target gets packets again, which show whether it has recovered.
+const MISS_LIFETIME: Duration = Duration::from_secs(2);
 /// Fraction of misses above which a target counts as unresponsive. Lossy paths cause much lower
 /// fractions.
 const UNRESPONSIVE_RATE: f64 = 0.5;
@@ -214,6 +217,8 @@
 pub struct Health {
     typical_lengths: FastMap<Endpoint, TypicalLength>,
     own: FastMap<TargetNumber, TimedTally>,
+    /// When the newest packet was sent that each target has missed.
+    last_missed: FastMap<TargetNumber, Millis>,
     others: FastMap<TargetNumber, TimedTally>,
     /// Refused requests of this instance, which decay as successful answers do.
     refused: FastMap<TargetNumber, TimedTally>,
@@ -270,17 +275,17 @@
         self.refusing.get(&target).is_some_and(|end| now < *end)
     }
 
-    /// Counts a request that a client retransmitted because the target did not accept it.
-    pub fn record_retransmission(&mut self, target: TargetNumber, now: Millis) {
+    /// Counts a request that a client retransmitted because the target did not accept the packet that
+    /// was sent at `missed`.
+    pub fn record_miss(&mut self, target: TargetNumber, missed: Millis, now: Millis) {
         self.add(target, Tally::MISSED, now);
+        let last = self.last_missed.entry(target).or_insert(missed);
+        *last = missed.max(*last);
     }
 
     fn add(&mut self, target: TargetNumber, tally: Tally, now: Millis) {
-        let own = self.own.entry(target).or_default();
-        *own = TimedTally {
-            tally: own.decayed_at(now).add_scaled(tally, 1.0),
-            at: now,
-        };
+        let tally = self.own(target, now).add_scaled(tally, 1.0);
+        self.own.insert(target, TimedTally { tally, at: now });
     }
 
     fn classify(&mut self, route: Endpoint, length: u32) -> Outcome {
@@ -310,11 +315,17 @@
         self.own(target, now).add_scaled(others, 1.0)
     }
 
-    /// Returns the outcomes observed by this instance, to be reported to peers.
+    /// Returns the outcomes observed by this instance, to be reported to peers. Misses lapse all at once:
+    /// a target that is not used, because it is taken for unresponsive, misses no further packets and
+    /// cannot answer any.
     pub fn own(&self, target: TargetNumber, now: Millis) -> Tally {
-        self.own
-            .get(&target)
-            .map_or_else(Tally::default, |o| o.decayed_at(now))
+        let own = self.own.get(&target);
+        let mut tally = own.map_or_else(Tally::default, |o| o.decayed_at(now));
+        let recent = |at: &Millis| now.since(*at) < MISS_LIFETIME;
+        if !self.last_missed.get(&target).is_some_and(recent) {
+            tally.misses = 0.0;
+        }
+        tally
     }
 
     /// Replaces the outcomes reported by all other instances.
@@ -359,6 +370,7 @@
     /// Discards the outcomes of a target, as after its restart.
     pub fn clear(&mut self, target: TargetNumber) {
         self.own.remove(&target);
+        self.last_missed.remove(&target);
         self.others.remove(&target);
         self.refused.remove(&target);
         self.refusing.remove(&target);
@@ -367,6 +379,7 @@
     /// Removes all targets for which `keep` returns false.
     pub fn retain(&mut self, keep: impl Fn(TargetNumber) -> bool) {
         self.own.retain(|target, _| keep(*target));
+        self.last_missed.retain(|target, _| keep(*target));
         self.others.retain(|target, _| keep(*target));
         self.refused.retain(|target, _| keep(*target));
         self.refusing.retain(|target, _| keep(*target));
--- a/crates/forward/src/liveness.rs
+++ b/crates/forward/src/liveness.rs
@@ -22,8 +22,8 @@
 /// A response observed within this time takes precedence over the reports of peers, which may be
 /// older.
 const RECENT_RESPONSE: Duration = Duration::from_millis(500);
-/// Time for which a retransmission or an unanswered opening counts against a target. Afterwards
-/// the target gets work again, which shows whether it has recovered.
+/// Time for which a missed packet, from when it was sent, or an unanswered opening counts against a
+/// target. Afterwards the target gets work again, which shows whether it has recovered.
 const SUSPICION_LIFETIME: Duration = Duration::from_secs(3);
 /// Interval at which one packet is forwarded to a lost target to detect its recovery.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -60,6 +60,9 @@
     pub misses: u32,
     /// Time since its last response; `None` if there was none.
     pub since_last_response: Option<Duration>,
+    /// Time since the newest packet was sent here that it has missed; `None` if it has missed none since
+    /// its last response.
+    pub since_last_missed: Option<Duration>,
     /// Outcomes of its requests on all instances.
     pub tally: Tally,
 }
@@ -75,7 +78,8 @@
     flows: u32,
     last_flow: Option<FlowKey>,
     first_retransmission: Millis,
-    last_retransmission: Millis,
+    /// When the newest packet was sent that the target has missed.
+    last_missed: Millis,
     last_probe: Millis,
     last_reported: Option<Liveness>,
 }
@@ -113,11 +117,19 @@
         }
     }
 
-    /// Records that a client retransmitted a packet of a flow.
-    pub fn record_retransmission(&mut self, target: TargetNumber, flow: FlowKey, now: Millis) {
+    /// Records that a client retransmitted a packet of a flow. The target has missed the packet that
+    /// was sent before, at `missed`.
+    pub fn record_miss(
+        &mut self,
+        target: TargetNumber,
+        flow: FlowKey,
+        missed: Millis,
+        now: Millis,
+    ) {
         let record = self.records.entry(target).or_default();
         if record.misses == 0 {
             record.first_retransmission = now;
+            record.last_missed = missed;
         }
         if record.own_liveness(now) != Liveness::Lost {
             // Until it is lost it gets packets anyway, so the first probe is due one interval after
@@ -129,7 +141,7 @@
             record.flows += 1;
             record.last_flow = Some(flow);
         }
-        record.last_retransmission = now;
+        record.last_missed = record.last_missed.max(missed);
     }
 
     /// Discards what was observed of a target, as after its restart.
@@ -191,11 +203,13 @@
             if record.last_reported.unwrap_or(Liveness::Sound) != liveness {
                 record.last_reported = Some(liveness);
                 let since_last_response = record.last_response.map(|at| now.since(at));
+                let missed = record.misses > 0;
                 changed.push(LivenessChange {
                     target: *target,
                     liveness,
                     misses: record.misses,
                     since_last_response,
+                    since_last_missed: missed.then(|| now.since(record.last_missed)),
                     tally,
                 });
             }
@@ -253,7 +267,7 @@
     /// Returns the liveness by the observations of this instance alone.
     fn own_liveness(&self, now: Millis) -> Liveness {
         let recent = |at: Millis| now.since(at) < SUSPICION_LIFETIME;
-        let retransmitted = self.misses > 0 && recent(self.last_retransmission);
+        let retransmitted = self.misses > 0 && recent(self.last_missed);
         let elapsed = now.since(self.first_retransmission);
         let enough = self.flows >= LOST_FLOWS || self.misses >= LOST_RETRANSMISSIONS;
         if retransmitted && enough && elapsed >= LOST_AFTER {
--- a/crates/forward/src/opening.rs
+++ b/crates/forward/src/opening.rs
@@ -31,6 +31,8 @@
     pub tried: Vec<TargetNumber>,
     /// When it was sent to the first target.
     started: Millis,
+    /// When it was sent to the last target.
+    pub sent: Millis,
     /// When the answer of the last target times out.
     pub due: Millis,
     /// Whether the client has retransmitted the packet, or may have.
@@ -88,6 +90,7 @@
             packet: packet.to_vec(),
             tried: vec![target],
             started: now,
+            sent: now,
             due,
             retransmitted: false,
             continued_elsewhere: false,
@@ -101,6 +104,7 @@
         let due = now + self.answer_timeout();
         if let Some(opening) = self.pending.get_mut(&flow) {
             opening.tried.push(target);
+            opening.sent = now;
             opening.due = due;
             self.deadlines.push(due, flow);
         }
--- a/crates/forward/tests/silent_fleet_wide.rs
+++ b/crates/forward/tests/silent_fleet_wide.rs
@@ -193,6 +193,74 @@
     assert!((0.7..=1.0).contains(&tally.misses), "{tally:?}");
 }
 
+/// Lets clients repeat requests that were sent to a target from 1,000 ms on, until peers would take it for
+/// unresponsive.
+fn make_unresponsive(forwarder: &mut Forwarder) -> (Client, TargetNumber) {
+    let (feed, unresponsive) = used_feed(forwarder);
+    let feeds = (100..).map(|port| open_flow(forwarder, port, FEED_PORT, at(900)));
+    let mut feeds: Vec<_> = feeds
+        .filter(|f| f.cookie == unresponsive.cookie())
+        .take(6)
+        .collect();
+    for feed in &mut feeds {
+        feed.send(forwarder, 100, at(1_000));
+    }
+    open_flow(forwarder, 9, ORDER_PORT, at(1_100));
+    for feed in &feeds {
+        feed.resend(forwarder, 100, at(1_200));
+    }
+    (feed, unresponsive)
+}
+
+/// Guards against resets of flows whose target is back (review/7): nothing has been sent to it since it
+/// was cut off, so what is known describes a time that is past.
+#[test]
+fn misses_lapse_when_no_packet_has_been_missed_since() {
+    let mut forwarder = forwarder(3);
+    let (mut feed, unresponsive) = make_unresponsive(&mut forwarder);
+
+    let early = reported_tally(&mut forwarder, unresponsive, 2_900);
+    let late = reported_tally(&mut forwarder, unresponsive, 3_100);
+    let action = feed.send(&mut forwarder, 100, at(4_100));
+
+    assert!(early.misses >= 2.0, "{early:?}");
+    assert!(late.misses < f64::EPSILON, "{late:?}");
+    assert_eq!(sent_to(action), unresponsive);
+}
+
+/// Guards against counting a miss from the client's repetition: what was lost is the packet before it,
+/// and a repetition may come more than a second after that.
+#[test]
+fn a_miss_is_as_old_as_the_packet_that_was_missed() {
+    let mut forwarder = forwarder(3);
+    let (mut feed, missed) = used_feed(&mut forwarder);
+    feed.send(&mut forwarder, 100, at(1_000));
+    open_flow(&mut forwarder, 9, ORDER_PORT, at(2_400));
+    feed.resend(&mut forwarder, 100, at(2_600));
+
+    let tally = reported_tally(&mut forwarder, missed, 3_100);
+
+    assert!(tally.misses < f64::EPSILON, "{tally:?}");
+}
+
+/// Guards against taking a target for recovered while packets to it go on being missed.
+#[test]
+fn misses_last_while_packets_are_missed() {
+    let mut forwarder = forwarder(3);
+    let (_, unresponsive) = make_unresponsive(&mut forwarder);
+    let mut order = (300..)
+        .map(|port| open_flow(&mut forwarder, port, ORDER_PORT, at(1_300)))
+        .find(|f| f.cookie == unresponsive.cookie())
+        .expect("an order at the target");
+    order.send(&mut forwarder, 100, at(2_500));
+    open_flow(&mut forwarder, 10, ORDER_PORT, at(2_600));
+    order.resend(&mut forwarder, 100, at(2_700));
+
+    let tally = reported_tally(&mut forwarder, unresponsive, 4_000);
+
+    assert!(tally.misses >= 2.0, "{tally:?}");
+}
+
 /// Guards against attributing a fault of this instance's own path to a target.
 #[test]
 fn an_instance_without_responses_reports_no_misses() {
--- a/crates/forwarder/src/report.rs
+++ b/crates/forwarder/src/report.rs
@@ -260,6 +260,7 @@
                 "target" => %change.target, "standing" => %change.liveness,
                 "misses" => change.misses,
                 "silent_ms" => change.since_last_response.map(millis),
+                "missed_ms" => change.since_last_missed.map(millis),
                 "all_misses" => rounded(change.tally.misses),
                 "all_sound" => rounded(change.tally.sound),
                 "revision" => %revision, "view_age_ms" => age_ms),
