Count the time for which the machine was suspended

The clock of the process was the steady one, which stands still while the machine is suspended. An instance that resumes could then not know that packets had waited, and its view, its peers and its misses of targets seemed as young as before.

Change: the clock is the time since boot, which counts suspensions and does not step with the time of day. rustix, already in use for signals, reads it without unsafe code.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -2,8 +2,9 @@
 
 use std::fmt;
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in milliseconds on one process's monotonic clock.
@@ -59,11 +60,13 @@
     }
 }
 
-/// The monotonic clock of this process. It keeps running while the process is stopped by a
-/// signal, so deadlines that pass during a pause have expired when the process resumes.
+/// The monotonic clock of this process. It keeps running while the process is stopped by a signal or
+/// the machine is suspended, so deadlines that pass during a pause have expired when the process
+/// resumes.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    /// Time since the machine was booted.
+    start: Duration,
 }
 
 impl Clock {
@@ -72,7 +75,7 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 
@@ -82,6 +85,13 @@
     /// Returns the current reading.
     #[must_use]
     pub fn now(&self) -> Millis {
-        Self::START + self.start.elapsed()
+        Self::START + since_boot().saturating_sub(self.start)
     }
 }
+
+/// Returns the time since the machine was booted. Unlike [`std::time::Instant`], it includes the time
+/// for which the machine was suspended.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    time.try_into().unwrap_or_default()
+}
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -1,10 +1,11 @@
-use std::time::Duration;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
 
 use crate::{
-    ByteSize, PublishedService, PublishedZone, Rate, RequestId, ResultCode, Revision, ServiceName,
-    parse_duration,
+    ByteSize, Clock, PublishedService, PublishedZone, Rate, RequestId, ResultCode, Revision,
+    ServiceName, parse_duration,
 };
 
 /// Guards against two codes sharing a number, which would make logs ambiguous.
@@ -76,3 +77,18 @@
     assert!(Revision::try_new(0, 1 << 40).is_err());
     assert!("1:".parse::<Revision>().is_err());
 }
+
+/// Guards against a clock that stands still or counts in another unit: all timeouts depend on it.
+#[test]
+fn the_clock_advances_with_the_time() {
+    let before = Instant::now();
+    let clock = Clock::start();
+    let first = clock.now();
+
+    sleep(Duration::from_millis(50));
+    let elapsed = clock.now().since(first);
+
+    let total = before.elapsed() + Duration::from_millis(1);
+    assert!(elapsed >= Duration::from_millis(49), "{elapsed:?}");
+    assert!(elapsed <= total, "{elapsed:?} of {total:?}");
+}
