--- a/crates/forwarder/src/reader.rs
+++ b/crates/forwarder/src/reader.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::instance::Instance;
+use crate::report::millis;
 use crate::source::{Page, PublicationBatch, Source};
 use crate::{Error, Result};
 use full_read::FullRead;
@@ -44,7 +45,7 @@
     let mut reader = Reader::<S>::new(instance);
     loop {
         reader.apply_settings();
-        if reader.instance.role() == Role::Leaf && !reader.wait_as_leaf().await {
+        if reader.update_role() == Role::Leaf && !reader.wait_as_leaf().await {
             continue;
         }
         let outcome = reader.read().await;
@@ -63,6 +64,8 @@
     full_read: Option<FullRead>,
     /// Number of consecutive failed calls.
     failures: u32,
+    /// The role when it was last determined.
+    role: Role,
 }
 
 impl<S: Source + 'static> Reader<S> {
@@ -73,6 +76,7 @@
             full_read_needed: false,
             full_read: None,
             failures: 0,
+            role: Role::Leaf,
             instance,
         }
     }
@@ -86,6 +90,21 @@
         }
     }
 
+    /// Determines the role of the instance, and logs a change.
+    fn update_role(&mut self) -> Role {
+        let role = self.instance.role();
+        if std::mem::replace(&mut self.role, role) != role {
+            let age = self
+                .instance
+                .forwarder
+                .borrow()
+                .view_age(self.instance.now());
+            info!(self.instance.reporter.log, "[store] reading for the zone";
+                "reads" => role == Role::Hub, "view_age_ms" => age.map(millis));
+        }
+        role
+    }
+
     /// Pauses while the zone's hub reads the store. Returns whether this instance has to call the
     /// store too: after a failed call, to find out whether the store answers again.
     async fn wait_as_leaf(&self) -> bool {
