Replace connections to the store that have been idle

Cause: an instance that is not its zone's reader keeps the connection of its first reading open and idle. When it takes over, its first watch goes out on that connection; if something on the way has forgotten it, the watch ends only after its time-out of 1.5 s, in addition to the 1.3 to 2.2 s of the takeover.

Change: a connection is used for another request only within 1 s of its last answer. An instance that reads all the time keeps its connection; an open connection that has carried nothing since tells nothing about the path.

--- a/crates/forwarder/src/http.rs
+++ b/crates/forwarder/src/http.rs
@@ -1,4 +1,5 @@
-//! HTTP client with one connection to the store or a peer, kept open between requests.
+//! HTTP client with one connection to the store or a peer, kept open between requests that follow one
+//! another.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -8,6 +9,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{HeaderMap, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
+use tanager_core::Clock;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -17,10 +19,23 @@
 /// Time-out for establishing a connection. The system retransmits a lost SYN only after a second,
 /// so a new attempt is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time since its last answer for which a connection is used again. Something on the way may forget an
+/// idle connection, and only a time-out would show it. Longer than the pauses between the calls of an
+/// instance that reads continuously.
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
 
 struct Connection {
     requests: SendRequest<Empty<Bytes>>,
     task: JoinHandle<()>,
+    /// Started when the last answer arrived.
+    idle: Clock,
+}
+
+impl Connection {
+    /// Returns whether the connection may be used for another request.
+    fn is_usable(&self) -> bool {
+        !self.requests.is_closed() && self.idle.now().since(Clock::START) < IDLE_LIMIT
+    }
 }
 
 impl Drop for Connection {
@@ -64,7 +79,8 @@
     }
 
     /// Sends a GET request. If the response does not arrive within `limit`, the request fails. A
-    /// failed request closes the connection. Establishing a connection has its own time-out.
+    /// failed request closes the connection, and one that was idle is replaced. Establishing a
+    /// connection has its own time-out.
     ///
     /// # Errors
     ///
@@ -72,7 +88,7 @@
     pub async fn get(&mut self, path: &str, limit: Duration) -> Result<Answer> {
         // Moved out of `self`, so that a cancelled or failed request also closes the connection.
         let connection = match self.connection.take() {
-            Some(connection) if !connection.requests.is_closed() => connection,
+            Some(connection) if connection.is_usable() => connection,
             _ => self.connect().await?,
         };
         let mut connection = connection;
@@ -80,6 +96,7 @@
         let answer = timeout(limit, call)
             .await
             .map_err(|_| Error::unreachable(self.address, "no answer within the time limit"))??;
+        connection.idle = Clock::start();
         self.connection = Some(connection);
         Ok(answer)
     }
@@ -105,7 +122,11 @@
             // The request in progress reports the error.
             drop(connection.await);
         });
-        Ok(Connection { requests, task })
+        Ok(Connection {
+            requests,
+            task,
+            idle: Clock::start(),
+        })
     }
 }
 
