Read newer views of peers while the own view is old

Change: an instance relies on the store only while its view was known to be complete within the last 1.5 s. A watch without changes ends after 1 s, so an instance whose calls are answered always does.

`a_reader_with_an_old_view_does_not_rely_on_the_store` (forwarder) fails without the check of the age, and passes.

--- a/crates/forwarder/src/instance.rs
+++ b/crates/forwarder/src/instance.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::RngExt as _;
 use tanager_core::{Clock, Incarnation, Millis};
@@ -12,6 +13,10 @@
 
 use crate::report::Reporter;
 
+/// Age of the view from which an instance does not rely on the store's last answer. Between two answers
+/// to an instance that reads continuously lies a watch of 1 s.
+const MAX_READ_AGE: Duration = Duration::from_millis(1_500);
+
 /// One running instance. All tasks run on one thread.
 pub struct Instance {
     /// The settings at startup. The store's address and the seeds may change while the process
@@ -96,9 +101,12 @@
         self.forwarder.borrow().view().is_settle_due(self.now())
     }
 
-    /// Returns whether the store answered the last call.
-    pub fn is_store_reachable(&self) -> bool {
-        self.store_reachable.get()
+    /// Returns whether this instance keeps its view up to date by itself: it reads the store, and an
+    /// answer has shown recently that its view is complete.
+    pub fn follows_store(&self) -> bool {
+        let age = self.forwarder.borrow().view_age(self.now());
+        let recent = age.is_some_and(|age| age < MAX_READ_AGE);
+        recent && self.store_reachable.get() && self.role() == Role::Hub
     }
 
     /// Records whether the store answered the last call.
--- a/crates/forwarder/src/peers.rs
+++ b/crates/forwarder/src/peers.rs
@@ -211,9 +211,7 @@
     loop {
         instance.pull_requested.notified().await;
         let view = instance.forwarder.borrow().view().version_to_read();
-        let reads_store = instance.role() == Role::Hub
-            && !view.revision.is_none()
-            && instance.is_store_reachable();
+        let reads_store = !view.revision.is_none() && instance.follows_store();
         let whole = first || instance.is_settle_due();
         let after = if whole { ViewVersion::default() } else { view };
         let peer = instance
--- a/crates/forwarder/src/reader_tests.rs
+++ b/crates/forwarder/src/reader_tests.rs
@@ -8,7 +8,7 @@
 
 use tanager_core::{Clock, Incarnation};
 use tanager_forward::{
-    Beacon, Change, Epoch, EvacuationChange, Kind, LoadPart, Route, RouteTable, ServiceShare,
+    Beacon, Change, Epoch, EvacuationChange, Kind, LoadPart, Role, Route, RouteTable, ServiceShare,
     StoreRevision, Target, TargetNumber, TargetState,
 };
 use tanagerproxy::settings::ForwarderSettings;
@@ -322,6 +322,29 @@
     });
 }
 
+/// Returns an instance without peers whose view was known to be complete this long ago.
+fn instance_verified(age: Duration) -> Rc<Instance> {
+    let instance = instance();
+    let at = instance.now() - age;
+    let mut forwarder = instance.forwarder.borrow_mut();
+    forwarder.advance(revision_at(7));
+    forwarder.record_verified(at);
+    drop(forwarder);
+    instance
+}
+
+/// Guards against an instance that has just become its zone's reader and waits for its own first call,
+/// while hubs of other zones have a newer view (review/5). What it knows of the store is old.
+#[test]
+fn a_reader_with_an_old_view_does_not_rely_on_the_store() {
+    let recent = instance_verified(Duration::from_millis(1_200));
+    let old = instance_verified(Duration::from_millis(1_600));
+
+    assert_eq!([recent.role(), old.role()], [Role::Hub, Role::Hub]);
+    assert!(recent.follows_store());
+    assert!(!old.follows_store());
+}
+
 /// Guards against an instance that hardly starts in a fleet of an older build, whose views it cannot
 /// decode: it waited for them after each page.
 #[test]
