Replace idle connections to the platform in the catalogue reader

The HTTP client of tanager-balancer keeps idle connections for 90 s. An instance that begins to watch, because its peers no longer inform it, used one that had been idle, and would learn only by the time-out of its watch that it had been forgotten.

Change: connections idle for more than 1 s are replaced, as in the forwarder.

--- a/crates/proxy/src/catalogue/reader.rs
+++ b/crates/proxy/src/catalogue/reader.rs
@@ -21,6 +21,9 @@
 /// How often an instance that does not watch checks whether it has to. An instance without answers
 /// from peers is detected after 3 s; a change must be in force within 6 s.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time since its last answer for which a connection is used again. Something on the way may forget an
+/// idle connection, and only the time-out of a call would show it.
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
 /// Approximate bytes of a request, and of the head of its response; they count as control traffic.
 const HTTP_OVERHEAD_BYTES: u64 = 150;
 
@@ -46,7 +49,7 @@
     ) -> Self {
         Self {
             platform,
-            client: reqwest::Client::new(),
+            client: client(),
             store,
             membership,
             counters,
@@ -234,6 +237,12 @@
     }
 }
 
+/// Returns a client that replaces idle connections. Without TLS, building it does not fail.
+fn client() -> reqwest::Client {
+    let builder = reqwest::Client::builder().pool_idle_timeout(IDLE_LIMIT);
+    builder.build().unwrap_or_default()
+}
+
 /// State of the reads of one document.
 #[derive(Default)]
 struct WatchState {
