Do not take targets for lost while packets wait unread

Cause: clients' acknowledgements waited in the instance's own socket, or were dropped there, so their targets seemed silent and repeated requests counted as misses. The check against a fault of the instance itself asked only whether any target had answered within a second, and an overloaded instance always reads some answers.

Change: the task that receives packets observes when its socket was last empty; after 150 ms the instance does not keep up (`backlogs`). A repetition is no miss if that was so since the missed packet was sent, and for 1 s from then on no flow is reset because its target seems lost.

--- a/crates/forward/src/forwarder.rs
+++ b/crates/forward/src/forwarder.rs
@@ -56,6 +56,8 @@
     lookups: Lookups,
     /// Since when packets that are received now may have waited, if the instance was paused.
     paused_since: Option<Millis>,
+    /// When received packets last waited for long, or were dropped, before they were handled.
+    last_backlog: Option<Millis>,
     /// Packets of ended lookups, to be handled now.
     released: Vec<UncertainPacket>,
     /// Openings to be sent to targets that do not know where their flows are open.
@@ -96,6 +98,7 @@
             held_generation: 0,
             lookups: Lookups::default(),
             paused_since: None,
+            last_backlog: None,
             released: Vec::new(),
             corrections: Vec::new(),
             messages: Vec::new(),
@@ -127,6 +130,12 @@
         self.paused_since = since;
     }
 
+    /// Records that packets now wait for long before they are handled, or are dropped: the instance does
+    /// not keep up. Until then, a missing acknowledgement says nothing about a target.
+    pub const fn record_backlog(&mut self, now: Millis) {
+        self.last_backlog = Some(now);
+    }
+
     /// Decides what to do with a client's packet.
     pub fn handle_packet(&mut self, segment: &Segment, packet: &[u8], now: Millis) -> Action {
         self.end_overdue_requests(now);
--- a/crates/forward/src/forwarder/established.rs
+++ b/crates/forward/src/forwarder/established.rs
@@ -170,6 +170,10 @@
             flow.pending_answer = None;
             let first = !std::mem::replace(&mut request.retransmitted, true);
             let missed = std::mem::replace(&mut request.last_sent, now);
+            if self.last_backlog.is_some_and(|at| at >= missed) {
+                // This instance may have dropped the acknowledgement, or has not read it yet.
+                return;
+            }
             // Reported to peers only if some target has responded since the request started.
             // Otherwise the fault may be in this instance's own path.
             let reachable = self
--- a/crates/forward/src/forwarder/resets.rs
+++ b/crates/forward/src/forwarder/resets.rs
@@ -9,6 +9,8 @@
 
 /// Time after the removal of a draining target before its flows are reset.
 const REMOVAL_GRACE: Duration = Duration::from_millis(500);
+/// Time after a backlog in which clients repeat acknowledgements that were dropped.
+const BACKLOG_GRACE: Duration = Duration::from_secs(1);
 /// Time without a response from any target after which this instance may count as isolated.
 const ISOLATION_TIME: Duration = Duration::from_secs(1);
 
@@ -29,7 +31,7 @@
     pub(super) fn reset_waiting(&mut self, due: &mut Vec<DueAction>, now: Millis) {
         self.record_liveness_changes(now);
         let lost = std::mem::take(&mut self.newly_lost);
-        if lost.is_empty() || self.is_isolated(now) {
+        if lost.is_empty() || !self.can_tell_lost(now) {
             return;
         }
         for (key, target) in self.flows.waiting_at(&lost, now) {
@@ -71,7 +73,7 @@
             return Some(ResetReason::TargetGone);
         }
         let liveness = self.liveness.liveness(target, &self.health, now);
-        if liveness != Liveness::Lost || self.is_isolated(now) {
+        if liveness != Liveness::Lost || !self.can_tell_lost(now) {
             return None;
         }
         // A request that must not run twice may still be answered as long as its target is listed.
@@ -82,6 +84,13 @@
         (!probe).then_some(ResetReason::TargetLost)
     }
 
+    /// Returns whether missing acknowledgements tell of targets, rather than of this instance: it is not
+    /// cut off, and has kept up with the packets of its clients.
+    fn can_tell_lost(&self, now: Millis) -> bool {
+        let behind = |at: Millis| now.since(at) < BACKLOG_GRACE;
+        !self.is_isolated(now) && !self.last_backlog.is_some_and(behind)
+    }
+
     /// Returns whether several targets have answers outstanding and no target has responded for a
     /// while. This indicates that the instance itself is cut off from the network.
     #[must_use]
--- a/crates/forwarder/src/clients.rs
+++ b/crates/forwarder/src/clients.rs
@@ -102,13 +102,17 @@
     /// Tells the forwarder whether the packets received next may be old.
     fn detect_pause(&mut self) {
         let reporter = &self.instance.reporter;
-        if let Some(length) = self.pauses.observe(self.instance.now()) {
+        let now = self.instance.now();
+        if let Some(length) = self.pauses.observe(now) {
             reporter.counters.pauses.increment();
             slog::warn!(reporter.log, "[node] was paused"; "ms" => millis(length));
         }
-        let since = self.pauses.waiting_since();
         let mut forwarder = self.instance.forwarder.borrow_mut();
-        forwarder.set_paused_since(since);
+        forwarder.set_paused_since(self.pauses.waiting_since());
+        if self.pauses.has_backlog(now) {
+            reporter.counters.backlogs.increment();
+            forwarder.record_backlog(now);
+        }
     }
 
     fn handle(&mut self, packet: &[u8]) {
--- a/crates/forwarder/src/metrics.rs
+++ b/crates/forwarder/src/metrics.rs
@@ -13,6 +13,8 @@
     pub packets_received: Counter,
     /// Times that the process did not run for 200 ms or longer.
     pub pauses: Counter,
+    /// Batches of packets that were handled 150 ms or longer after the socket was last empty.
+    pub backlogs: Counter,
     /// Packets sent to targets.
     pub packets_forwarded: Counter,
     /// Packets that cannot be decoded.
--- a/crates/forwarder/src/pause.rs
+++ b/crates/forwarder/src/pause.rs
@@ -1,4 +1,5 @@
-//! Detects that the process did not run for a while. Packets have waited in its socket meanwhile.
+//! Detects that packets have waited in the socket: because the process did not run for a while, or since
+//! it does not keep up.
 
 use std::time::Duration;
 
@@ -13,6 +14,10 @@
 /// when it polls the system, so a socket may seem to be empty just after the pause.
 const SETTLE_TIME: Duration = Duration::from_millis(100);
 
+/// Time for which the socket has not been empty from which the process does not keep up. Clients repeat
+/// data that is not acknowledged after 200 ms.
+const MAX_BACKLOG: Duration = Duration::from_millis(150);
+
 #[derive(Debug, Clone, Copy)]
 struct Pause {
     since: Millis,
@@ -23,6 +28,8 @@
 #[derive(Debug)]
 pub struct PauseDetector {
     last_observation: Millis,
+    /// When the socket was last empty.
+    last_empty: Millis,
     /// The last pause, until all packets that waited in the meantime have been received.
     pause: Option<Pause>,
 }
@@ -32,6 +39,7 @@
     pub const fn new(now: Millis) -> Self {
         Self {
             last_observation: now,
+            last_empty: now,
             pause: None,
         }
     }
@@ -51,10 +59,16 @@
 
     /// Records that the socket is empty.
     pub fn record_empty(&mut self, now: Millis) {
+        self.last_empty = now;
         self.pause
             .take_if(|pause| now.since(pause.ended) >= SETTLE_TIME);
     }
 
+    /// Returns whether packets have waited for so long that clients may have repeated them.
+    pub fn has_backlog(&self, now: Millis) -> bool {
+        now.since(self.last_empty) >= MAX_BACKLOG
+    }
+
     /// Returns since when packets that are received now may have waited; `None` if the process was not
     /// paused.
     pub fn waiting_since(&self) -> Option<Millis> {
--- a/crates/forwarder/src/pause_tests.rs
+++ b/crates/forwarder/src/pause_tests.rs
@@ -48,3 +48,19 @@
 
     assert_eq!(pauses.waiting_since(), Some(at(0)));
 }
+
+/// Guards against missing acknowledgements that are held against targets while they wait unread.
+#[test]
+fn a_socket_that_is_never_empty_has_a_backlog() {
+    let mut pauses = PauseDetector::new(at(0));
+    for batch in 1..4 {
+        pauses.observe(at(batch * 60));
+    }
+
+    let early = pauses.has_backlog(at(140));
+    let late = pauses.has_backlog(at(180));
+    pauses.record_empty(at(190));
+
+    assert_eq!((early, late), (false, true));
+    assert!(!pauses.has_backlog(at(250)));
+}
