--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -33,6 +33,8 @@
 RETRY_S, RETRY_MAX_S = 0.2, 1.6
 STORE_ANSWER_S = 0.004
 HEARTBEAT_S = 1.2
+# The exit code for a broken rule. Python itself exits with 1 after an error; run.sh maps the codes.
+BROKEN = 10
 
 START = time.monotonic()
 
@@ -477,7 +479,7 @@
 
 
 def run(scenario, folder, limit=110, **options):
-    """Plays a scenario and exits with its result: 1 broken, 0 held, 2 it could not run."""
+    """Plays a scenario and exits with BROKEN, 0 if the rule held, or 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
@@ -486,7 +488,7 @@
             await rig.store.start()
             result = await asyncio.wait_for(scenario(rig, trouble), limit)
             rig.record("RULE BROKEN" if result else "rule held")
-            return 1 if result else 0
+            return BROKEN if result else 0
         except Exception as error:  # The case could not run.
             rig.record(f"the case could not run: {error!r}")
             print(f"the case could not run: {error!r}", file=sys.stderr)
